--- /dev/null
+++ b/Source/Core/Admission/Agent.cpp
@@ -0,0 +1,74 @@
+#include "Admission/Agent.h"
+
+#include "Admission/Internal.h"
+
+namespace shallotbeam::admission {
+
+namespace {
+
+using internal::Context;
+
+struct EventHandler {
+  Context& context;
+
+  void operator()(const RequestOffered& event) {
+    internal::OnOffer(context, event);
+  }
+  void operator()(const OfferWithdrawn& event) {
+    internal::OnWithdrawn(context, event);
+  }
+  void operator()(const UpstreamResponded&) {}
+  void operator()(const UpstreamProgressed& event) {
+    internal::OnProgress(context, event);
+  }
+  void operator()(const UpstreamEnded& event) {
+    internal::OnUpstreamEnded(context, event);
+  }
+  void operator()(const UpstreamProbed& event) {
+    internal::OnProbed(context, event);
+  }
+  void operator()(const MessageReceived& event) {
+    internal::OnMessage(context, event.envelope);
+  }
+  void operator()(const ConfigReceived& event) {
+    internal::OnConfig(context, event.config);
+  }
+  void operator()(const Tick&) { internal::OnTick(context); }
+  void operator()(const DrainRequested&) { internal::OnDrain(context); }
+};
+
+}  // namespace
+
+AgentState MakeAgent(const AgentOptions& options) {
+  AgentState state;
+  state.options = options;
+  state.limit.options = options.limit;
+  state.keys.options = options.keys;
+  state.suspects.options = options.suspects;
+  state.error_backoff = options.first_error_backoff;
+  return state;
+}
+
+void Handle(AgentState& state, common::TimePoint now, const AgentEvent& event,
+            AgentActions* actions) {
+  Context context{.state = state, .now = now, .actions = *actions};
+  std::visit(EventHandler{context}, event);
+}
+
+namespace internal {
+
+void Log(Context& context, const Attempt& attempt, std::string_view decision,
+         std::string_view cause) {
+  context.Do(
+      LogDecision{.id = attempt.id,
+                  .workspace = attempt.workspace,
+                  .decision = decision,
+                  .cause = cause,
+                  .router = attempt.router,
+                  .running = static_cast<int>(context.state.running.size()),
+                  .limit = Slots(context.state.limit)});
+}
+
+}  // namespace internal
+
+}  // namespace shallotbeam::admission
--- /dev/null
+++ b/Source/Core/Admission/Agent.h
@@ -0,0 +1,127 @@
+#ifndef SHALLOTBEAM_CORE_ADMISSION_AGENT_H_
+#define SHALLOTBEAM_CORE_ADMISSION_AGENT_H_
+
+#include <list>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Admission/Actions.h"
+#include "Admission/ConcurrencyLimit.h"
+#include "Admission/Events.h"
+#include "Admission/KeyTable.h"
+#include "Common/Clock.h"
+#include "Common/Types.h"
+#include "Config/Model.h"
+#include "Fairness/ShareLedger.h"
+#include "Suspects/SuspectList.h"
+
+// The decisions of an agent: a deterministic state machine without I/O.
+namespace shallotbeam::admission {
+
+struct AgentOptions {
+  common::ProcessName name;
+  common::Incarnation incarnation = common::Incarnation::kNone;
+  common::DataCentreName data_centre;
+  common::PoolName pool;
+  common::UpstreamName upstream;
+  common::Endpoint control;  // this agent's inbox
+  common::Endpoint data;     // where routers hand requests over
+  // Inboxes of routers to announce this agent to.
+  std::vector<common::Endpoint> seed_routers;
+  LimitOptions limit;
+  KeyTableOptions keys;
+  suspects::SuspectOptions suspects;
+  common::Duration heartbeat_interval = std::chrono::milliseconds(250);
+  common::Duration shares_interval = std::chrono::milliseconds(200);
+  common::Duration grant_timeout = std::chrono::milliseconds(500);
+  common::Duration router_timeout = std::chrono::seconds(1);
+  common::Duration probe_interval = std::chrono::milliseconds(500);
+  // A workspace without demand for this long starts level on its return.
+  common::Duration idle_after = std::chrono::milliseconds(500);
+  common::Duration debt_cap = std::chrono::seconds(2);
+  common::Duration urgency_boost = std::chrono::milliseconds(500);
+  common::Duration first_error_backoff = std::chrono::milliseconds(50);
+  common::Duration max_error_backoff = std::chrono::seconds(2);
+  common::Duration drain_deadline = std::chrono::seconds(60);
+  int max_waiting = 256;  // requests bound to this agent that wait here
+};
+
+// A request that this agent has accepted.
+struct Attempt {
+  AttemptId id;
+  common::ProcessName router;
+  common::WorkspaceName workspace;
+  common::Fingerprint fingerprint = common::Fingerprint::kNone;
+  bool suspect = false;
+  std::string key;  // with the workspace; empty if idempotent
+  bool granted = false;
+  common::TimePoint deadline;
+  common::TimePoint started;
+  common::Cost charged = 0;
+};
+
+struct OutstandingGrant {
+  common::ProcessName router;
+  common::WorkspaceName workspace;
+  common::TimePoint expires;
+  common::Cost charged = 0;
+};
+
+// What an agent knows of one router.
+struct RouterPeer {
+  common::Incarnation incarnation = common::Incarnation::kNone;
+  common::Endpoint control;
+  common::TimePoint last_heard;
+  std::uint64_t demand_sequence = 0;
+  std::map<common::WorkspaceName, protocol::WorkspaceDemand> demand;
+};
+
+// Measured rates that size the debt cap and the urgency boost.
+struct ShareRate {
+  common::TimePoint measured;
+  common::Cost service_then = 0;
+  double cost_per_second = 0;  // of the whole pool
+  common::Cost largest_request = 1;
+};
+
+struct AgentState {
+  AgentOptions options;
+  config::FleetConfig config;
+  ConcurrencyLimit limit;
+  KeyTable keys;
+  suspects::SuspectList suspects;
+  fairness::ShareLedger ledger;
+  ShareRate rate;
+  // Estimated cost of a request, by workspace.
+  std::map<common::WorkspaceName, common::Cost> estimates;
+  // When each workspace last had demand here.
+  std::map<common::WorkspaceName, common::TimePoint> last_demand;
+  std::map<AttemptId, Attempt> running;
+  std::list<Attempt> waiting;  // accepted, not begun
+  std::map<common::GrantId, OutstandingGrant> grants;
+  std::uint64_t next_grant = 1;
+  std::map<common::ProcessName, RouterPeer> routers;
+  // Slots held back after errors, by the end of the hold.
+  std::multiset<common::TimePoint> held_slots;
+  common::Duration error_backoff{};
+  bool upstream_up = true;
+  common::TimePoint probed;
+  common::TimePoint heartbeat_sent;
+  common::TimePoint shares_sent;
+  bool draining = false;
+  bool drain_reported = false;
+  common::TimePoint drain_started;
+};
+
+AgentState MakeAgent(const AgentOptions& options);
+
+// Applies one event at `now`; appends the actions to carry out in order. `now`
+// must not go backwards.
+void Handle(AgentState& state, common::TimePoint now, const AgentEvent& event,
+            AgentActions* actions);
+
+}  // namespace shallotbeam::admission
+
+#endif  // SHALLOTBEAM_CORE_ADMISSION_AGENT_H_
--- /dev/null
+++ b/Source/Core/Admission/Control.cpp
@@ -0,0 +1,199 @@
+#include <algorithm>
+
+#include "Admission/Internal.h"
+
+namespace shallotbeam::admission::internal {
+
+namespace {
+
+protocol::AgentState StateOf(const AgentState& state) {
+  if (state.draining) return protocol::AgentState::kDraining;
+  if (state.config.version == common::ConfigVersion::kNone) {
+    return protocol::AgentState::kNoConfiguration;
+  }
+  if (!state.upstream_up) return protocol::AgentState::kUpstreamDown;
+  return protocol::AgentState::kServing;
+}
+
+protocol::Heartbeat MakeHeartbeat(const AgentState& state) {
+  // Slots are not on offer for direct dispatch while others wait for them.
+  const int free = HasDemand(state) ? 0 : std::max(0, FreeSlots(state));
+  return {.role = protocol::Role::kAgent,
+          .data_centre = state.options.data_centre,
+          .control = state.options.control,
+          .config_version = state.config.version,
+          .data = state.options.data,
+          .pool = state.options.pool,
+          .upstream = state.options.upstream,
+          .state = StateOf(state),
+          .free_slots = free,
+          .slot_limit = Slots(state.limit)};
+}
+
+void OnDemand(Context& context, const protocol::Envelope& envelope,
+              const protocol::Demand& demand) {
+  AgentState& state = context.state;
+  if (demand.pool != state.options.pool) return;
+  RouterPeer& peer = state.routers[envelope.sender];
+  const bool stale = peer.incarnation == envelope.incarnation &&
+                     demand.sequence <= peer.demand_sequence;
+  if (stale) return;
+  peer.incarnation = envelope.incarnation;
+  peer.last_heard = context.now;
+  peer.demand_sequence = demand.sequence;
+  peer.demand.clear();
+  for (const protocol::WorkspaceDemand& it : demand.workspaces) {
+    NoteDemand(context, it.workspace);
+    peer.demand[it.workspace] = it;
+  }
+  FillSlots(context);
+}
+
+void OnRouterHeartbeat(Context& context, const protocol::Envelope& envelope,
+                       const protocol::Heartbeat& heartbeat) {
+  AgentState& state = context.state;
+  RouterPeer& peer = state.routers[envelope.sender];
+  const bool joined = peer.incarnation != envelope.incarnation;
+  if (joined) peer = {.incarnation = envelope.incarnation};
+  peer.control = heartbeat.control;
+  peer.last_heard = context.now;
+  if (!joined) return;
+  // A router that starts empty gets everything at once.
+  context.Do(SendMessage{.to = envelope.sender,
+                         .body = fairness::Snapshot(state.ledger)});
+  context.Do(
+      SendMessage{.to = envelope.sender,
+                  .body = suspects::Snapshot(state.suspects, context.now)});
+}
+
+struct MessageHandler {
+  Context& context;
+  const protocol::Envelope& envelope;
+
+  void operator()(const protocol::Heartbeat& heartbeat) {
+    if (heartbeat.role != protocol::Role::kRouter) return;
+    OnRouterHeartbeat(context, envelope, heartbeat);
+  }
+  void operator()(const protocol::Demand& demand) {
+    OnDemand(context, envelope, demand);
+  }
+  void operator()(const protocol::GrantReturn& message) {
+    OnGrantReturn(context, message.grant);
+  }
+  void operator()(const protocol::Shares& shares) {
+    fairness::Merge(context.state.ledger, shares);
+  }
+  void operator()(const protocol::Revoke& revoke) {
+    OnRevoke(context, envelope.sender, revoke);
+  }
+  void operator()(const protocol::Suspects& rows) {
+    if (!suspects::Merge(context.state.suspects, rows, context.now)) return;
+    SendToRouters(context, rows);
+  }
+  // Handled by the runtime (configuration) or not meant for agents.
+  void operator()(const protocol::Grant&) {}
+  void operator()(const protocol::RevokeReply&) {}
+  void operator()(const protocol::ConfigRequest&) {}
+  void operator()(const protocol::ConfigDocument&) {}
+};
+
+void DropSilentRouters(Context& context) {
+  AgentState& state = context.state;
+  std::erase_if(state.routers, [&](const auto& it) {
+    return context.now - it.second.last_heard >= state.options.router_timeout;
+  });
+}
+
+void SendShares(Context& context) {
+  AgentState& state = context.state;
+  if (context.now - state.shares_sent < state.options.shares_interval) return;
+  state.shares_sent = context.now;
+  const protocol::Shares changes = fairness::TakeChanges(state.ledger);
+  if (changes.rows.empty() && changes.lifts.empty()) return;
+  SendToRouters(context, changes);
+}
+
+void CheckDrain(Context& context) {
+  AgentState& state = context.state;
+  if (!state.draining || state.drain_reported) return;
+  const bool late =
+      context.now - state.drain_started >= state.options.drain_deadline;
+  if (!state.running.empty() && !late) return;
+  state.drain_reported = true;
+  context.Do(DrainCompleted{});
+}
+
+}  // namespace
+
+void SendToRouters(Context& context, const protocol::Body& body) {
+  for (const auto& [name, peer] : context.state.routers) {
+    context.Do(SendMessage{.to = name, .body = body});
+  }
+}
+
+void SendHeartbeats(Context& context) {
+  AgentState& state = context.state;
+  state.heartbeat_sent = context.now;
+  const protocol::Heartbeat heartbeat = MakeHeartbeat(state);
+  SendToRouters(context, heartbeat);
+  for (const common::Endpoint& seed : state.options.seed_routers) {
+    const bool known =
+        std::any_of(state.routers.begin(), state.routers.end(),
+                    [&](const auto& it) { return it.second.control == seed; });
+    if (known) continue;
+    // The name of a router is unknown until its first heartbeat.
+    context.Do(SendMessage{.to = common::ProcessName(common::ToString(seed)),
+                           .body = heartbeat});
+  }
+}
+
+void OnMessage(Context& context, const protocol::Envelope& envelope) {
+  std::visit(MessageHandler{context, envelope}, envelope.body);
+}
+
+void OnConfig(Context& context, const config::FleetConfig& config) {
+  AgentState& state = context.state;
+  // Only a higher version is taken over: a configuration never reverts.
+  if (config.version <= state.config.version) return;
+  state.config = config;
+  const auto pool = config.pools.find(state.options.pool);
+  if (pool != config.pools.end()) Configure(state.limit, pool->second);
+  for (const auto& [name, workspace] : config.workspaces) {
+    fairness::SetWeight(state.ledger, {state.options.pool, name},
+                        workspace.weight);
+  }
+  SendHeartbeats(context);
+}
+
+void OnDrain(Context& context) {
+  AgentState& state = context.state;
+  if (state.draining) return;
+  state.draining = true;
+  state.drain_started = context.now;
+  for (const Attempt& attempt : state.waiting) {
+    RejectNotRun(context, attempt, common::Reason::kDraining);
+  }
+  state.waiting.clear();
+  SendHeartbeats(context);
+}
+
+void OnTick(Context& context) {
+  AgentState& state = context.state;
+  DropSilentRouters(context);
+  ExpireGrants(context);
+  ExpireAttempts(context);
+  for (const std::string& key : Expire(state.keys, context.now)) {
+    context.Do(ForgetResult{.key = key});
+  }
+  suspects::Expire(state.suspects, context.now);
+  MeasureShareRate(context);
+  FillSlots(context);
+  if (context.now - state.heartbeat_sent >= state.options.heartbeat_interval) {
+    SendHeartbeats(context);
+  }
+  SendShares(context);
+  ProbeIfDown(context);
+  CheckDrain(context);
+}
+
+}  // namespace shallotbeam::admission::internal
--- /dev/null
+++ b/Source/Core/Admission/Events.h
@@ -0,0 +1,98 @@
+#ifndef SHALLOTBEAM_CORE_ADMISSION_EVENTS_H_
+#define SHALLOTBEAM_CORE_ADMISSION_EVENTS_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "Common/Clock.h"
+#include "Common/Types.h"
+#include "Config/Model.h"
+#include "Protocol/Messages.h"
+
+// What an agent is told. The caller of Handle() supplies the time.
+namespace shallotbeam::admission {
+
+// One attempt of a request at this agent.
+struct AttemptId {
+  common::RequestId request;
+  std::uint32_t attempt = 0;
+
+  friend auto operator<=>(const AttemptId&, const AttemptId&) = default;
+};
+
+// A router hands a request over.
+struct RequestOffered {
+  AttemptId id;
+  common::ProcessName router;
+  common::WorkspaceName workspace;
+  common::KindName kind;
+  common::GrantId grant = common::GrantId::kNone;
+  common::Fingerprint fingerprint = common::Fingerprint::kNone;
+  bool suspect = false;
+  common::Duration time_left{};
+  // Only for non-idempotent requests.
+  std::string key;
+  common::Incarnation bound_to = common::Incarnation::kNone;
+  std::uint64_t binding_revision = 0;
+};
+
+// The router closed the connection of the attempt.
+struct OfferWithdrawn {
+  AttemptId id;
+};
+
+// The first byte of the upstream's response arrived.
+struct UpstreamResponded {
+  AttemptId id;
+};
+
+struct UpstreamProgressed {
+  AttemptId id;
+  std::uint64_t generated_tokens = 0;  // so far
+};
+
+enum class UpstreamOutcome : std::uint8_t {
+  kCompleted,  // whole response
+  kRefused,    // the upstream said that it did not run it (429)
+  kError,      // the upstream answered with a failure (5xx)
+  kNotSent,    // the connection failed before the first byte
+  kBroken,     // the connection broke before the end of the response
+  kTimedOut,   // no complete response within the time left
+};
+
+struct UpstreamEnded {
+  AttemptId id;
+  UpstreamOutcome outcome = UpstreamOutcome::kCompleted;
+  std::uint64_t prompt_tokens = 0;
+  std::uint64_t generated_tokens = 0;
+  std::size_t response_bytes = 0;
+};
+
+// Answer to ProbeUpstream.
+struct UpstreamProbed {
+  bool reachable = false;
+};
+
+struct MessageReceived {
+  protocol::Envelope envelope;
+};
+
+struct ConfigReceived {
+  config::FleetConfig config;
+};
+
+// Comes at least every 20 ms.
+struct Tick {};
+
+struct DrainRequested {};
+
+using AgentEvent =
+    std::variant<RequestOffered, OfferWithdrawn, UpstreamResponded,
+                 UpstreamProgressed, UpstreamEnded, UpstreamProbed,
+                 MessageReceived, ConfigReceived, Tick, DrainRequested>;
+
+}  // namespace shallotbeam::admission
+
+#endif  // SHALLOTBEAM_CORE_ADMISSION_EVENTS_H_
--- /dev/null
+++ b/Source/Core/Common/Clock.h
@@ -0,0 +1,36 @@
+#ifndef SHALLOTBEAM_CORE_COMMON_CLOCK_H_
+#define SHALLOTBEAM_CORE_COMMON_CLOCK_H_
+
+#include <chrono>
+
+namespace shallotbeam::common {
+
+using Duration = std::chrono::nanoseconds;
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+// Source of monotonic time. Decision code receives time points instead.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual TimePoint Now() const = 0;
+};
+
+class SteadyClock : public Clock {
+ public:
+  TimePoint Now() const override;
+};
+
+// A clock that moves only when told to. For tests and scripted scenarios.
+class ManualClock : public Clock {
+ public:
+  TimePoint Now() const override { return now_; }
+  void Advance(Duration step) { now_ += step; }
+
+ private:
+  // Starts above zero so that `now - some_age` stays positive.
+  TimePoint now_ = TimePoint() + std::chrono::hours(1);
+};
+
+}  // namespace shallotbeam::common
+
+#endif  // SHALLOTBEAM_CORE_COMMON_CLOCK_H_
--- /dev/null
+++ b/Source/Core/Common/Logging.cpp
@@ -0,0 +1,89 @@
+#include "Common/Logging.h"
+
+#include <fmt/chrono.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace shallotbeam::common {
+
+namespace {
+
+constexpr std::size_t kSubsystems = static_cast<std::size_t>(Subsystem::kCount);
+constexpr std::array<std::string_view, kSubsystems> kSubsystemNames = {
+    "main",     "config",    "routing",   "admission",
+    "platform", "transport", "membership"};
+constexpr std::array<std::string_view, 5> kLevelNames = {
+    "debug", "info", "warning", "error", "off"};
+
+std::array<std::atomic<LogLevel>, kSubsystems>& Levels() {
+  static std::array<std::atomic<LogLevel>, kSubsystems> levels = {
+      LogLevel::kInfo, LogLevel::kInfo, LogLevel::kInfo, LogLevel::kInfo,
+      LogLevel::kInfo, LogLevel::kInfo, LogLevel::kInfo};
+  return levels;
+}
+
+template <std::size_t N>
+int IndexOf(const std::array<std::string_view, N>& names,
+            std::string_view text) {
+  for (std::size_t i = 0; i < N; ++i) {
+    if (names[i] == text) return static_cast<int>(i);
+  }
+  return -1;
+}
+
+}  // namespace
+
+void SetLogLevel(Subsystem subsystem, LogLevel level) {
+  Levels()[static_cast<std::size_t>(subsystem)] = level;
+}
+
+bool IsLogged(Subsystem subsystem, LogLevel level) {
+  return level >= Levels()[static_cast<std::size_t>(subsystem)].load(
+                      std::memory_order_relaxed);
+}
+
+absl::Status ApplyLogLevels(std::string_view spec) {
+  for (absl::string_view part :
+       absl::StrSplit(absl::string_view(spec.data(), spec.size()), ',',
+                      absl::SkipEmpty())) {
+    const std::vector<std::string> fields = absl::StrSplit(part, '=');
+    const int level = IndexOf(kLevelNames, fields.back());
+    if (level < 0 || fields.size() > 2) {
+      return absl::InvalidArgumentError(
+          absl::StrCat("unknown log level in \"", part, "\""));
+    }
+    if (fields.size() == 1) {
+      for (auto& it : Levels()) it = static_cast<LogLevel>(level);
+      continue;
+    }
+    const int subsystem = IndexOf(kSubsystemNames, fields[0]);
+    if (subsystem < 0) {
+      return absl::InvalidArgumentError(
+          absl::StrCat("unknown log subsystem \"", fields[0], "\""));
+    }
+    SetLogLevel(static_cast<Subsystem>(subsystem),
+                static_cast<LogLevel>(level));
+  }
+  return absl::OkStatus();
+}
+
+void WriteLogLine(Subsystem subsystem, LogLevel level, std::string_view text) {
+  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  const auto ms = now.time_since_epoch().count() % 1000;
+  const std::string line =
+      fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} subsystem={} {}\n",
+                  fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms,
+                  kLevelNames[static_cast<std::size_t>(level)],
+                  kSubsystemNames[static_cast<std::size_t>(subsystem)], text);
+  // One write per line keeps lines of several threads apart.
+  std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+}  // namespace shallotbeam::common
--- /dev/null
+++ b/Source/Core/Common/Logging.h
@@ -0,0 +1,49 @@
+#ifndef SHALLOTBEAM_CORE_COMMON_LOGGING_H_
+#define SHALLOTBEAM_CORE_COMMON_LOGGING_H_
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "absl/status/status.h"
+
+namespace shallotbeam::common {
+
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError, kOff };
+
+enum class Subsystem : std::uint8_t {
+  kMain,
+  kConfig,
+  kRouting,
+  kAdmission,
+  kPlatform,
+  kTransport,
+  kMembership,
+  kCount,
+};
+
+void SetLogLevel(Subsystem subsystem, LogLevel level);
+bool IsLogged(Subsystem subsystem, LogLevel level);
+
+// Applies a list such as "info,routing=debug". A level without a subsystem
+// sets all. Fails with kInvalidArgument on an unknown name.
+absl::Status ApplyLogLevels(std::string_view spec);
+
+// Writes one line to standard error: time, level, subsystem, text.
+void WriteLogLine(Subsystem subsystem, LogLevel level, std::string_view text);
+
+// Logs `key=value` pairs, for example
+//   Log(Subsystem::kRouting, LogLevel::kInfo, "event=dispatch id={}", id);
+template <typename... Args>
+void Log(Subsystem subsystem, LogLevel level, fmt::format_string<Args...> text,
+         Args&&... args) {
+  if (!IsLogged(subsystem, level)) return;
+  WriteLogLine(subsystem, level,
+               fmt::format(text, std::forward<Args>(args)...));
+}
+
+}  // namespace shallotbeam::common
+
+#endif  // SHALLOTBEAM_CORE_COMMON_LOGGING_H_
--- /dev/null
+++ b/Source/Core/Common/Types.h
@@ -0,0 +1,90 @@
+#ifndef SHALLOTBEAM_CORE_COMMON_TYPES_H_
+#define SHALLOTBEAM_CORE_COMMON_TYPES_H_
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace shallotbeam::common {
+
+// A name that can't be confused with a name of another sort.
+template <typename Tag>
+struct Name {
+  std::string value;
+
+  Name() = default;
+  explicit Name(std::string text) : value(std::move(text)) {}
+
+  bool empty() const { return value.empty(); }
+  friend auto operator<=>(const Name&, const Name&) = default;
+};
+
+using WorkspaceName = Name<struct WorkspaceTag>;
+using KindName = Name<struct KindTag>;
+using PoolName = Name<struct PoolTag>;
+using UpstreamName = Name<struct UpstreamTag>;
+using DataCentreName = Name<struct DataCentreTag>;
+using RegionName = Name<struct RegionTag>;
+// Names a router or an agent. Stable over restarts.
+using ProcessName = Name<struct ProcessTag>;
+
+// One run of a process. A random number drawn at start; never zero.
+enum class Incarnation : std::uint64_t { kNone = 0 };
+
+// Identifies a request over the fleet.
+struct RequestId {
+  Incarnation router = Incarnation::kNone;
+  std::uint64_t sequence = 0;
+
+  friend auto operator<=>(const RequestId&, const RequestId&) = default;
+};
+
+enum class GrantId : std::uint64_t { kNone = 0 };
+enum class ConfigVersion : std::uint64_t { kNone = 0 };
+// Hash of workspace, kind and body.
+enum class Fingerprint : std::uint64_t { kNone = 0 };
+
+// Cost units: tokens for model pools, calls for plain pools.
+using Cost = double;
+
+enum class Urgency : std::uint8_t { kBackground = 0, kNormal = 1, kUrgent = 2 };
+
+// IP address and TCP port, for example "10.1.2.3:8080".
+struct Endpoint {
+  std::string address;
+  std::uint16_t port = 0;
+
+  friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+std::string ToString(RequestId id);
+std::string ToString(Incarnation incarnation);
+std::string ToString(const Endpoint& endpoint);
+
+template <typename Enum>
+constexpr auto ToNumber(Enum value) {
+  return static_cast<std::underlying_type_t<Enum>>(value);
+}
+
+}  // namespace shallotbeam::common
+
+template <typename Tag>
+struct std::hash<shallotbeam::common::Name<Tag>> {
+  std::size_t operator()(const shallotbeam::common::Name<Tag>& name) const {
+    return std::hash<std::string>()(name.value);
+  }
+};
+
+template <>
+struct std::hash<shallotbeam::common::RequestId> {
+  std::size_t operator()(const shallotbeam::common::RequestId& id) const {
+    // The incarnation is random, so xor with the sequence spreads well.
+    return static_cast<std::size_t>(id.router) ^ (id.sequence * 0x9e3779b9U);
+  }
+};
+
+#endif  // SHALLOTBEAM_CORE_COMMON_TYPES_H_
--- /dev/null
+++ b/Source/Core/Fairness/ShareLedger.cpp
@@ -0,0 +1,121 @@
+#include "Fairness/ShareLedger.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace shallotbeam::fairness {
+
+namespace {
+
+void NoteChange(ShareLedger& ledger, const ShareKey& key,
+                common::Incarnation writer) {
+  std::vector<common::Incarnation>& writers = ledger.changed[key];
+  if (std::find(writers.begin(), writers.end(), writer) == writers.end()) {
+    writers.push_back(writer);
+  }
+}
+
+protocol::ShareRow ToRow(const ShareKey& key, common::Incarnation writer,
+                         const ServiceSums& sums) {
+  return {.writer = writer,
+          .pool = key.first,
+          .workspace = key.second,
+          .charged = sums.charged,
+          .refunded = sums.refunded};
+}
+
+void MergeRow(ShareLedger& ledger, const protocol::ShareRow& row) {
+  const ShareKey key(row.pool, row.workspace);
+  WorkspaceShare& share = ledger.shares[key];
+  ServiceSums& sums = share.rows[row.writer];
+  const common::Cost charged = std::max(sums.charged, row.charged);
+  const common::Cost refunded = std::max(sums.refunded, row.refunded);
+  if (charged == sums.charged && refunded == sums.refunded) return;
+  share.net_service += charged - sums.charged;
+  share.net_service -= refunded - sums.refunded;
+  sums = {.charged = charged, .refunded = refunded};
+  NoteChange(ledger, key, row.writer);
+}
+
+void RaiseLift(ShareLedger& ledger, const ShareKey& key, double lift) {
+  WorkspaceShare& share = ledger.shares[key];
+  if (lift <= share.lift) return;
+  share.lift = lift;
+  // An empty entry marks a changed lift.
+  ledger.changed[key];
+}
+
+}  // namespace
+
+void SetWeight(ShareLedger& ledger, const ShareKey& key, double weight) {
+  ledger.shares[key].weight = weight;
+}
+
+void AddService(ShareLedger& ledger, common::Incarnation writer,
+                const ShareKey& key, common::Cost cost) {
+  WorkspaceShare& share = ledger.shares[key];
+  ServiceSums& sums = share.rows[writer];
+  if (cost >= 0) {
+    sums.charged += cost;
+  } else {
+    sums.refunded -= cost;
+  }
+  share.net_service += cost;
+  NoteChange(ledger, key, writer);
+}
+
+double VirtualTime(const ShareLedger& ledger, const ShareKey& key) {
+  const auto it = ledger.shares.find(key);
+  if (it == ledger.shares.end()) return 0;
+  return it->second.net_service / it->second.weight + it->second.lift;
+}
+
+void LiftTo(ShareLedger& ledger, const ShareKey& key, double floor) {
+  const double behind = floor - VirtualTime(ledger, key);
+  if (behind <= 0) return;
+  RaiseLift(ledger, key, ledger.shares[key].lift + behind);
+}
+
+void CapSpread(ShareLedger& ledger, const std::vector<ShareKey>& backlogged,
+               double cap) {
+  double highest = -std::numeric_limits<double>::infinity();
+  for (const ShareKey& key : backlogged) {
+    highest = std::max(highest, VirtualTime(ledger, key));
+  }
+  for (const ShareKey& key : backlogged) LiftTo(ledger, key, highest - cap);
+}
+
+void Merge(ShareLedger& ledger, const protocol::Shares& shares) {
+  for (const protocol::ShareRow& row : shares.rows) MergeRow(ledger, row);
+  for (const protocol::LiftRow& row : shares.lifts) {
+    RaiseLift(ledger, ShareKey(row.pool, row.workspace), row.lift);
+  }
+}
+
+protocol::Shares TakeChanges(ShareLedger& ledger) {
+  protocol::Shares changes;
+  for (const auto& [key, writers] : ledger.changed) {
+    const WorkspaceShare& share = ledger.shares[key];
+    for (const common::Incarnation writer : writers) {
+      changes.rows.push_back(ToRow(key, writer, share.rows.at(writer)));
+    }
+    changes.lifts.push_back(
+        {.pool = key.first, .workspace = key.second, .lift = share.lift});
+  }
+  ledger.changed.clear();
+  return changes;
+}
+
+protocol::Shares Snapshot(const ShareLedger& ledger) {
+  protocol::Shares all;
+  for (const auto& [key, share] : ledger.shares) {
+    for (const auto& [writer, sums] : share.rows) {
+      all.rows.push_back(ToRow(key, writer, sums));
+    }
+    all.lifts.push_back(
+        {.pool = key.first, .workspace = key.second, .lift = share.lift});
+  }
+  return all;
+}
+
+}  // namespace shallotbeam::fairness
--- /dev/null
+++ b/Source/Core/Protocol/Messages.h
@@ -0,0 +1,140 @@
+#ifndef SHALLOTBEAM_CORE_PROTOCOL_MESSAGES_H_
+#define SHALLOTBEAM_CORE_PROTOCOL_MESSAGES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Common/Types.h"
+
+// Control messages between routers and agents. Each carries whole state or
+// counters that only grow, so that a lost, late or repeated one does no harm.
+namespace shallotbeam::protocol {
+
+enum class Role : std::uint8_t { kRouter, kAgent };
+
+enum class AgentState : std::uint8_t {
+  kServing,
+  kDraining,
+  kUpstreamDown,
+  kNoConfiguration,
+};
+
+// Where a process can be reached.
+struct PeerAddress {
+  common::ProcessName process;
+  common::Endpoint control;
+
+  friend bool operator==(const PeerAddress&, const PeerAddress&) = default;
+};
+
+struct Heartbeat {
+  Role role = Role::kRouter;
+  common::DataCentreName data_centre;
+  common::Endpoint control;  // the sender's inbox
+  common::ConfigVersion config_version = common::ConfigVersion::kNone;
+  // Agents only.
+  common::Endpoint data;  // where routers hand requests over
+  common::PoolName pool;
+  common::UpstreamName upstream;
+  AgentState state = AgentState::kServing;
+  int free_slots = 0;
+  int slot_limit = 0;
+  // Routers only.
+  std::vector<PeerAddress> known_routers;
+};
+
+struct WorkspaceDemand {
+  common::WorkspaceName workspace;
+  int waiting = 0;  // requests
+  std::chrono::milliseconds oldest_wait{0};
+  common::Urgency urgency = common::Urgency::kNormal;  // of the most urgent
+};
+
+// All waiting work of a router for one pool. Replaces the previous one.
+struct Demand {
+  common::PoolName pool;
+  std::uint64_t sequence = 0;  // a lower one than seen before is ignored
+  std::vector<WorkspaceDemand> workspaces;
+};
+
+struct Grant {
+  common::GrantId grant = common::GrantId::kNone;
+  common::PoolName pool;
+  common::WorkspaceName workspace;
+};
+
+struct GrantReturn {
+  common::GrantId grant = common::GrantId::kNone;
+};
+
+// Service that one agent incarnation has given one workspace. Both sums grow.
+struct ShareRow {
+  common::Incarnation writer = common::Incarnation::kNone;
+  common::PoolName pool;
+  common::WorkspaceName workspace;
+  common::Cost charged = 0;
+  common::Cost refunded = 0;
+};
+
+struct LiftRow {
+  common::PoolName pool;
+  common::WorkspaceName workspace;
+  double lift = 0;  // cost per weight; merged by maximum
+};
+
+struct Shares {
+  std::vector<ShareRow> rows;
+  std::vector<LiftRow> lifts;
+};
+
+// Asks an agent to bar a key that was bound to it, so that the router may
+// answer "not run". Bars all attempts up to `binding_revision`.
+struct Revoke {
+  common::RequestId request;
+  common::Incarnation bound_to = common::Incarnation::kNone;
+  common::WorkspaceName workspace;
+  std::string key;
+  std::uint64_t binding_revision = 0;
+};
+
+struct RevokeReply {
+  common::RequestId request;
+  bool begun = false;  // false: it did not run and is now barred
+};
+
+struct SuspectRow {
+  common::Fingerprint fingerprint = common::Fingerprint::kNone;
+  int crashes = 0;
+  // Time left of a ban; zero while the fingerprint is only a suspect.
+  std::chrono::milliseconds ban_left{0};
+  std::chrono::milliseconds age{0};  // since the last crash
+};
+
+struct Suspects {
+  std::vector<SuspectRow> rows;
+};
+
+struct ConfigRequest {
+  common::ConfigVersion have = common::ConfigVersion::kNone;
+};
+
+struct ConfigDocument {
+  common::ConfigVersion version = common::ConfigVersion::kNone;
+  std::string document;
+};
+
+using Body = std::variant<Heartbeat, Demand, Grant, GrantReturn, Shares, Revoke,
+                          RevokeReply, Suspects, ConfigRequest, ConfigDocument>;
+
+struct Envelope {
+  common::ProcessName sender;
+  common::Incarnation incarnation = common::Incarnation::kNone;
+  Body body;
+};
+
+}  // namespace shallotbeam::protocol
+
+#endif  // SHALLOTBEAM_CORE_PROTOCOL_MESSAGES_H_
--- /dev/null
+++ b/Source/Core/Routing/Internal.h
@@ -0,0 +1,65 @@
+#ifndef SHALLOTBEAM_CORE_ROUTING_INTERNAL_H_
+#define SHALLOTBEAM_CORE_ROUTING_INTERNAL_H_
+
+#include <string_view>
+#include <utility>
+
+#include "Routing/Router.h"
+
+// Shared by the event handlers of the router; not for embedders.
+namespace shallotbeam::routing::internal {
+
+struct Context {
+  RouterState& state;
+  common::TimePoint now;
+  RouterActions& actions;
+
+  template <typename Action>
+  void Do(Action action) {
+    actions.emplace_back(std::move(action));
+  }
+};
+
+// Arrivals.cpp
+void OnArrival(Context& context, const RequestArrived& event);
+void OnTicketRequest(Context& context, const TicketRequested& event);
+void OnBindingRead(Context& context, const BindingRead& event);
+
+// Dispatching.cpp: moves a request towards an agent.
+
+// Dispatches at once if an agent has a free slot, else queues.
+void Place(Context& context, Request& request);
+void Enqueue(Context& context, Request& request);
+// Takes the request out of the queue, if it is queued.
+void Dequeue(Context& context, const Request& request);
+void DispatchToOwner(Context& context, Request& request);
+void OnBindingWritten(Context& context, const BindingWritten& event);
+void OnGrant(Context& context, const common::ProcessName& agent,
+             const protocol::Grant& grant);
+
+// Outcomes.cpp: ends attempts and requests.
+void OnDispatchEnded(Context& context, const DispatchEnded& event);
+void OnCallerLeft(Context& context, const CallerLeft& event);
+void OnRevokeReply(Context& context, const protocol::RevokeReply& reply);
+// The attempt in flight at a dead or restarted agent got no answer.
+void OnOrphaned(Context& context, common::RequestId id);
+// Ends the request. For a keyed request "not run" is confirmed first.
+void GiveUp(Context& context, Request& request, common::Refusal refusal);
+// Answers without a confirmation and forgets the request.
+void Refuse(Context& context, Request& request, common::Refusal refusal);
+void Forget(Context& context, common::RequestId id);
+void ExpireRequests(Context& context);
+
+// Control.cpp
+void OnMessage(Context& context, const protocol::Envelope& envelope);
+void OnConfig(Context& context, const config::FleetConfig& config);
+void OnTick(Context& context);
+
+void Log(Context& context, const Request& request, std::string_view decision,
+         std::string_view cause);
+// `estimate` with jitter, at least 100 ms.
+common::Duration RetryAfter(Context& context, common::Duration estimate);
+
+}  // namespace shallotbeam::routing::internal
+
+#endif  // SHALLOTBEAM_CORE_ROUTING_INTERNAL_H_
--- /dev/null
+++ b/Source/Core/Routing/RetryBudget.cpp
@@ -0,0 +1,36 @@
+#include "Routing/RetryBudget.h"
+
+#include <algorithm>
+
+namespace shallotbeam::routing {
+
+bool TryTake(TokenBucket& bucket, double per_second, double burst,
+             common::TimePoint now) {
+  if (bucket.tokens < 0) {
+    bucket.tokens = burst;
+  } else {
+    const std::chrono::duration<double> elapsed = now - bucket.refilled;
+    bucket.tokens =
+        std::min(burst, bucket.tokens + elapsed.count() * per_second);
+  }
+  bucket.refilled = now;
+  if (bucket.tokens < 1) return false;
+  bucket.tokens -= 1;
+  return true;
+}
+
+void NoteDispatch(RetryBudget& budget, const RetryOptions& options) {
+  budget.earned = std::min(options.burst, budget.earned + options.ratio);
+}
+
+bool TryRetry(RetryBudget& budget, const RetryOptions& options,
+              common::TimePoint now) {
+  if (budget.earned >= 1) {
+    budget.earned -= 1;
+    return true;
+  }
+  return TryTake(budget.minimum, options.minimum_per_second,
+                 options.minimum_per_second, now);
+}
+
+}  // namespace shallotbeam::routing
--- /dev/null
+++ b/Source/Core/Routing/Router.cpp
@@ -0,0 +1,101 @@
+#include "Routing/Router.h"
+
+#include <algorithm>
+
+#include "Routing/Internal.h"
+
+namespace shallotbeam::routing {
+
+namespace {
+
+using internal::Context;
+
+struct EventHandler {
+  Context& context;
+
+  void operator()(const RequestArrived& event) {
+    internal::OnArrival(context, event);
+  }
+  void operator()(const TicketRequested& event) {
+    internal::OnTicketRequest(context, event);
+  }
+  void operator()(const CallerLeft& event) {
+    internal::OnCallerLeft(context, event);
+  }
+  void operator()(const DispatchEnded& event) {
+    internal::OnDispatchEnded(context, event);
+  }
+  void operator()(const ResponseStarted& event) {
+    const auto it = context.state.requests.find(event.id);
+    if (it == context.state.requests.end()) return;
+    if (it->second.attempt == event.attempt) it->second.response_started = true;
+  }
+  void operator()(const MessageReceived& event) {
+    internal::OnMessage(context, event.envelope);
+  }
+  void operator()(const BindingRead& event) {
+    internal::OnBindingRead(context, event);
+  }
+  void operator()(const BindingWritten& event) {
+    internal::OnBindingWritten(context, event);
+  }
+  void operator()(const ConfigReceived& event) {
+    internal::OnConfig(context, event.config);
+  }
+  void operator()(const HostsListed& event) {
+    for (const HostEntry& host : event.hosts) {
+      SetLeaving(context.state.agents, host.process, host.leaving);
+    }
+  }
+  void operator()(const Tick&) { internal::OnTick(context); }
+  void operator()(const DrainRequested&) {
+    if (context.state.draining) return;
+    context.state.draining = true;
+    context.state.drain_started = context.now;
+  }
+};
+
+}  // namespace
+
+RouterState MakeRouter(const RouterOptions& options) {
+  RouterState state;
+  state.options = options;
+  state.random.seed(options.seed);
+  state.agents.options = options.membership;
+  state.suspects.options = options.suspects;
+  return state;
+}
+
+void Handle(RouterState& state, common::TimePoint now, const RouterEvent& event,
+            RouterActions* actions) {
+  Context context{.state = state, .now = now, .actions = *actions};
+  std::visit(EventHandler{context}, event);
+}
+
+namespace internal {
+
+void Log(Context& context, const Request& request, std::string_view decision,
+         std::string_view cause) {
+  const auto free = context.state.agents.free_agents.find(request.pool);
+  const std::size_t listed =
+      free == context.state.agents.free_agents.end() ? 0 : free->second.size();
+  context.Do(LogDecision{.id = request.id,
+                         .workspace = request.workspace,
+                         .kind = request.kind,
+                         .decision = decision,
+                         .agent = request.agent,
+                         .cause = cause,
+                         .passed_over = listed});
+}
+
+common::Duration RetryAfter(Context& context, common::Duration estimate) {
+  const double jitter = context.state.options.retry_after_jitter;
+  std::uniform_real_distribution<double> spread(1 - jitter, 1 + jitter);
+  constexpr common::Duration kLeast = std::chrono::milliseconds(100);
+  return std::chrono::duration_cast<common::Duration>(
+      std::max(estimate, kLeast) * spread(context.state.random));
+}
+
+}  // namespace internal
+
+}  // namespace shallotbeam::routing
--- /dev/null
+++ b/Source/Core/Routing/Router.h
@@ -0,0 +1,123 @@
+#ifndef SHALLOTBEAM_CORE_ROUTING_ROUTER_H_
+#define SHALLOTBEAM_CORE_ROUTING_ROUTER_H_
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "Common/Clock.h"
+#include "Common/Types.h"
+#include "Common/Verdict.h"
+#include "Config/Model.h"
+#include "Fairness/ShareLedger.h"
+#include "Routing/Actions.h"
+#include "Routing/AgentTable.h"
+#include "Routing/Events.h"
+#include "Routing/KeyBinding.h"
+#include "Routing/RetryBudget.h"
+#include "Routing/WorkQueue.h"
+#include "Suspects/SuspectList.h"
+
+// The decisions of a router: a deterministic state machine without I/O.
+namespace shallotbeam::routing {
+
+struct RouterOptions {
+  common::ProcessName name;
+  common::Incarnation incarnation = common::Incarnation::kNone;
+  common::DataCentreName data_centre;
+  common::Endpoint control;  // this router's inbox
+  std::uint64_t seed = 1;
+  MembershipOptions membership;
+  suspects::SuspectOptions suspects;
+  RetryOptions retries;
+  common::Duration heartbeat_interval = std::chrono::milliseconds(250);
+  common::Duration shares_interval = std::chrono::milliseconds(200);
+  // Demand is sent on change, this far apart at least and at most.
+  common::Duration demand_interval = std::chrono::milliseconds(20);
+  common::Duration demand_refresh = std::chrono::seconds(1);
+  // How long a confirmation of "not run" may take.
+  common::Duration confirm_timeout = std::chrono::milliseconds(500);
+  double confirmations_per_second = 50;
+  // Relative spread of Retry-After around the estimate.
+  double retry_after_jitter = 0.25;
+  common::Duration drain_deadline = std::chrono::seconds(60);
+};
+
+enum class Phase : std::uint8_t {
+  kReadingBinding,  // waits for the store
+  kQueued,
+  kWritingBinding,  // waits for the store, holds a slot
+  kDispatched,
+  kConfirming,  // waits for proof that it did not run
+};
+
+// A request from its arrival to its final answer.
+struct Request {
+  common::RequestId id;
+  common::WorkspaceName workspace;
+  common::KindName kind;
+  common::PoolName pool;
+  common::Urgency urgency = common::Urgency::kNormal;
+  bool idempotent = true;
+  common::Fingerprint fingerprint = common::Fingerprint::kNone;
+  common::TimePoint arrived;
+  common::TimePoint deadline;
+  std::size_t bytes = 0;
+
+  Phase phase = Phase::kQueued;
+  common::TimePoint phase_deadline;  // for kConfirming
+  std::uint32_t attempt = 0;
+  int retries = 0;
+  bool response_started = false;
+  common::ProcessName agent;  // of the current attempt
+  common::GrantId grant = common::GrantId::kNone;
+
+  // Only for non-idempotent requests.
+  std::string key;
+  std::string store_key;  // empty for a ticket
+  std::uint64_t binding_revision = 0;
+  std::optional<Owner> owner;
+  common::Refusal pending;  // while confirming
+};
+
+struct PoolState {
+  WorkQueue queue;
+  bool demand_changed = false;
+  common::TimePoint demand_sent;
+  std::uint64_t demand_sequence = 0;
+};
+
+struct RouterState {
+  RouterOptions options;
+  config::FleetConfig config;
+  std::mt19937_64 random;
+  std::unordered_map<common::RequestId, Request> requests;
+  std::set<std::pair<common::TimePoint, common::RequestId>> deadlines;
+  std::map<common::PoolName, PoolState> pools;
+  AgentTable agents;
+  fairness::ShareLedger ledger;
+  suspects::SuspectList suspects;
+  std::map<common::PoolName, RetryBudget> retry_budgets;
+  TokenBucket confirmations;
+  common::TimePoint heartbeat_sent;
+  common::TimePoint shares_sent;
+  bool draining = false;
+  bool drain_reported = false;
+  common::TimePoint drain_started;
+};
+
+RouterState MakeRouter(const RouterOptions& options);
+
+// Applies one event at `now`; appends the actions to carry out in order. `now`
+// must not go backwards. Runs in O(log n) of agents and requests, but for
+// ticks, which also visit every pool and send to every agent.
+void Handle(RouterState& state, common::TimePoint now, const RouterEvent& event,
+            RouterActions* actions);
+
+}  // namespace shallotbeam::routing
+
+#endif  // SHALLOTBEAM_CORE_ROUTING_ROUTER_H_
--- /dev/null
+++ b/Source/Core/Routing/WorkQueue.cpp
@@ -0,0 +1,162 @@
+#include "Routing/WorkQueue.h"
+
+#include <algorithm>
+
+namespace shallotbeam::routing {
+
+namespace {
+
+double UrgencyWeight(common::Urgency urgency) {
+  switch (urgency) {
+    case common::Urgency::kUrgent:
+      return 8;
+    case common::Urgency::kNormal:
+      return 4;
+    case common::Urgency::kBackground:
+      return 1;
+  }
+  return 1;
+}
+
+KindQueue& QueueOf(WorkspaceQueue& workspace, const common::KindName& kind,
+                   common::Urgency urgency) {
+  KindQueue& queue = workspace.kinds[kind];
+  queue.urgency = urgency;
+  if (!queue.requests.empty()) return queue;
+  // A kind back from idle starts level with the others: no saved credit.
+  double level = 0;
+  bool found = false;
+  for (const auto& [name, other] : workspace.kinds) {
+    if (other.requests.empty()) continue;
+    level = found ? std::min(level, other.virtual_time) : other.virtual_time;
+    found = true;
+  }
+  if (found) queue.virtual_time = std::max(queue.virtual_time, level);
+  return queue;
+}
+
+void Account(WorkQueue& queue, WorkspaceQueue& workspace, KindQueue& kind,
+             const QueuedRequest& request, int step) {
+  queue.waiting += step;
+  workspace.waiting += step;
+  if (step > 0) {
+    kind.bytes += request.bytes;
+  } else {
+    kind.bytes -= request.bytes;
+  }
+}
+
+void NoteDispatch(WorkspaceQueue& workspace, common::TimePoint now) {
+  constexpr int kSmoothing = 8;
+  const common::Duration interval = now - workspace.last_dispatch;
+  const bool first = workspace.last_dispatch == common::TimePoint();
+  workspace.last_dispatch = now;
+  // A pause while nothing waited says nothing about the rate of service.
+  if (first || workspace.waiting == 0) return;
+  workspace.dispatch_interval +=
+      (interval - workspace.dispatch_interval) / kSmoothing;
+}
+
+}  // namespace
+
+void Push(WorkQueue& queue, const common::WorkspaceName& workspace,
+          const common::KindName& kind, common::Urgency urgency,
+          const QueuedRequest& request) {
+  WorkspaceQueue& owner = queue.workspaces[workspace];
+  KindQueue& target = QueueOf(owner, kind, urgency);
+  target.requests.push_back(request);
+  Account(queue, owner, target, request, +1);
+}
+
+void PushBack(WorkQueue& queue, const common::WorkspaceName& workspace,
+              const common::KindName& kind, common::Urgency urgency,
+              const QueuedRequest& request) {
+  WorkspaceQueue& owner = queue.workspaces[workspace];
+  KindQueue& target = QueueOf(owner, kind, urgency);
+  const auto place = std::upper_bound(
+      target.requests.begin(), target.requests.end(), request.arrived,
+      [](common::TimePoint arrived, const QueuedRequest& other) {
+        return arrived < other.arrived;
+      });
+  target.requests.insert(place, request);
+  Account(queue, owner, target, request, +1);
+}
+
+std::optional<QueuedRequest> Pop(WorkQueue& queue,
+                                 const common::WorkspaceName& workspace,
+                                 common::TimePoint now) {
+  const auto owner = queue.workspaces.find(workspace);
+  if (owner == queue.workspaces.end()) return std::nullopt;
+  KindQueue* best = nullptr;
+  for (auto& [name, kind] : owner->second.kinds) {
+    if (kind.requests.empty()) continue;
+    const bool ahead = best == nullptr ||
+                       kind.virtual_time < best->virtual_time ||
+                       (kind.virtual_time == best->virtual_time &&
+                        kind.urgency > best->urgency);
+    if (ahead) best = &kind;
+  }
+  if (best == nullptr) return std::nullopt;
+  const QueuedRequest request = best->requests.front();
+  best->requests.pop_front();
+  best->virtual_time += 1 / UrgencyWeight(best->urgency);
+  Account(queue, owner->second, *best, request, -1);
+  NoteDispatch(owner->second, now);
+  return request;
+}
+
+bool Remove(WorkQueue& queue, const common::WorkspaceName& workspace,
+            const common::KindName& kind, common::RequestId id) {
+  const auto owner = queue.workspaces.find(workspace);
+  if (owner == queue.workspaces.end()) return false;
+  const auto target = owner->second.kinds.find(kind);
+  if (target == owner->second.kinds.end()) return false;
+  auto& requests = target->second.requests;
+  const auto it =
+      std::find_if(requests.begin(), requests.end(),
+                   [&](const QueuedRequest& other) { return other.id == id; });
+  if (it == requests.end()) return false;
+  const QueuedRequest request = *it;
+  requests.erase(it);
+  Account(queue, owner->second, target->second, request, -1);
+  return true;
+}
+
+QueueSize SizeOf(const WorkQueue& queue, const common::WorkspaceName& workspace,
+                 const common::KindName& kind) {
+  const auto owner = queue.workspaces.find(workspace);
+  if (owner == queue.workspaces.end()) return {};
+  const auto it = owner->second.kinds.find(kind);
+  if (it == owner->second.kinds.end()) return {};
+  return {.requests = static_cast<int>(it->second.requests.size()),
+          .bytes = it->second.bytes};
+}
+
+common::Duration EstimateWait(const WorkQueue& queue,
+                              const common::WorkspaceName& workspace) {
+  const auto it = queue.workspaces.find(workspace);
+  if (it == queue.workspaces.end()) return common::Duration();
+  return it->second.dispatch_interval * it->second.waiting;
+}
+
+std::vector<protocol::WorkspaceDemand> SummariseDemand(const WorkQueue& queue,
+                                                       common::TimePoint now) {
+  std::vector<protocol::WorkspaceDemand> demand;
+  for (const auto& [name, workspace] : queue.workspaces) {
+    if (workspace.waiting == 0) continue;
+    protocol::WorkspaceDemand& it = demand.emplace_back();
+    it.workspace = name;
+    it.waiting = workspace.waiting;
+    it.urgency = common::Urgency::kBackground;
+    for (const auto& [kind_name, kind] : workspace.kinds) {
+      if (kind.requests.empty()) continue;
+      it.urgency = std::max(it.urgency, kind.urgency);
+      const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+          now - kind.requests.front().arrived);
+      it.oldest_wait = std::max(it.oldest_wait, wait);
+    }
+  }
+  return demand;
+}
+
+}  // namespace shallotbeam::routing
--- /dev/null
+++ b/Source/Core/Runtime/AdminServer.cpp
@@ -0,0 +1,90 @@
+#include "Runtime/AdminServer.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace shallotbeam::runtime {
+
+namespace {
+
+using nlohmann::json;
+using transport::HttpResponse;
+
+HttpResponse ToResponse(const json& body) {
+  HttpResponse response;
+  response.headers = {{"Content-Type", "application/json"}};
+  response.body = body.dump(2) + "\n";
+  return response;
+}
+
+json SharesOf(const fairness::ShareLedger& ledger) {
+  json shares = json::array();
+  for (const auto& [key, share] : ledger.shares) {
+    shares.push_back({{"pool", key.first.value},
+                      {"workspace", key.second.value},
+                      {"weight", share.weight},
+                      {"net_service", share.net_service},
+                      {"virtual_time", fairness::VirtualTime(ledger, key)}});
+  }
+  return shares;
+}
+
+}  // namespace
+
+absl::StatusOr<std::shared_ptr<transport::HttpServer>> ListenAdmin(
+    boost::asio::io_context& context, const common::Endpoint& endpoint,
+    StatusHandler on_status) {
+  return transport::HttpServer::Listen(
+      context, {.endpoint = endpoint},
+      [on_status = std::move(on_status)](
+          std::shared_ptr<transport::HttpExchange> exchange) {
+        const std::string& target = exchange->Request().target;
+        if (target == "/status") return on_status(std::move(exchange));
+        const int status = target == "/livez" ? 200 : 404;
+        exchange->Send({.status = status, .headers = {}, .body = "\n"});
+      });
+}
+
+HttpResponse RouterStatus(const routing::RouterState& state) {
+  json agents = json::array();
+  for (const auto& [name, agent] : state.agents.agents) {
+    agents.push_back({{"name", name.value},
+                      {"pool", agent.pool.value},
+                      {"upstream", agent.upstream.value},
+                      {"alive", agent.alive},
+                      {"leaving", agent.leaving},
+                      {"free_slots", agent.free_slots},
+                      {"in_flight", agent.in_flight.size()}});
+  }
+  json queues = json::array();
+  for (const auto& [pool, pool_state] : state.pools) {
+    for (const auto& [name, queue] : pool_state.queue.workspaces) {
+      queues.push_back({{"pool", pool.value},
+                        {"workspace", name.value},
+                        {"waiting", queue.waiting}});
+    }
+  }
+  return ToResponse({{"name", state.options.name.value},
+                     {"role", "router"},
+                     {"config_version", common::ToNumber(state.config.version)},
+                     {"requests", state.requests.size()},
+                     {"draining", state.draining},
+                     {"agents", agents},
+                     {"queues", queues},
+                     {"shares", SharesOf(state.ledger)}});
+}
+
+HttpResponse AgentStatus(const admission::AgentState& state) {
+  return ToResponse({{"name", state.options.name.value},
+                     {"role", "agent"},
+                     {"config_version", common::ToNumber(state.config.version)},
+                     {"running", state.running.size()},
+                     {"waiting", state.waiting.size()},
+                     {"slots", admission::Slots(state.limit)},
+                     {"upstream_up", state.upstream_up},
+                     {"draining", state.draining},
+                     {"routers", state.routers.size()},
+                     {"shares", SharesOf(state.ledger)}});
+}
+
+}  // namespace shallotbeam::runtime
--- /dev/null
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -0,0 +1,144 @@
+#include "Runtime/AgentProcess.h"
+
+#include <caf/all.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "Common/Logging.h"
+#include "Runtime/AdminServer.h"
+#include "Runtime/AgentEngine.h"
+#include "Runtime/OfferHeaders.h"
+#include "Runtime/ProcessHost.h"
+#include "Runtime/Refusals.h"
+
+namespace shallotbeam::runtime {
+
+// Messages of the agent's actor.
+struct OfferMessage {
+  std::shared_ptr<transport::HttpExchange> exchange;
+  admission::RequestOffered offer;
+};
+struct AgentEventMessage {
+  admission::AgentEvent event;
+};
+struct AgentControlMessage {
+  std::string bytes;
+};
+struct ResultMessage {
+  std::string key;
+  transport::HttpResponse result;
+};
+struct AgentStatusMessage {
+  std::shared_ptr<transport::HttpExchange> exchange;
+};
+
+}  // namespace shallotbeam::runtime
+
+// The messages stay inside the process, so that they need no serialisation.
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::OfferMessage)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::AgentEventMessage)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::AgentControlMessage)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::ResultMessage)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::AgentStatusMessage)
+
+namespace shallotbeam::runtime {
+
+namespace {
+
+caf::behavior AgentActor(caf::event_based_actor* /*self*/,
+                         const std::shared_ptr<AgentEngine>& engine) {
+  return {[engine](const OfferMessage& message) {
+            engine->OnOffer(message.exchange, message.offer);
+          },
+          [engine](const AgentEventMessage& message) {
+            engine->OnEvent(message.event);
+          },
+          [engine](const AgentControlMessage& message) {
+            engine->OnControlBytes(message.bytes);
+          },
+          [engine](const ResultMessage& message) {
+            engine->OnResult(message.key, message.result);
+          },
+          [engine](const AgentStatusMessage& message) {
+            message.exchange->Send(AgentStatus(engine->State()));
+          }};
+}
+
+void HandleOffer(const caf::actor& agent,
+                 std::shared_ptr<transport::HttpExchange> exchange) {
+  const bool known = exchange->Request().target == "/v1/run";
+  auto offer = known ? ParseOffer(exchange->Request()) : std::nullopt;
+  if (!offer) return exchange->Send(ToMalformedResponse(400));
+  caf::anon_send(agent, OfferMessage{std::move(exchange), *std::move(offer)});
+}
+
+}  // namespace
+
+absl::Status RunAgent(const AgentSettings& settings) {
+  const common::Incarnation incarnation = DrawIncarnation();
+  const common::SteadyClock clock;
+  ProcessHost host(settings.threads);
+  caf::actor_system_config actor_config;
+  actor_config.set("scheduler.max-threads", 1);
+  caf::actor_system actors(actor_config);
+  transport::HttpClient client(host.Context());
+
+  // Set before any message can arrive through it.
+  const auto agent = std::make_shared<caf::actor>();
+  const auto post_event = [agent](admission::AgentEvent event) {
+    caf::anon_send(*agent, AgentEventMessage{std::move(event)});
+  };
+  auto mailbox =
+      transport::Mailbox::Open(settings.control, [agent](std::string bytes) {
+        if (*agent) caf::anon_send(*agent, AgentControlMessage{bytes});
+      });
+  if (!mailbox.ok()) return mailbox.status();
+
+  const admission::AgentOptions options{.name = settings.name,
+                                        .incarnation = incarnation,
+                                        .data_centre = settings.data_centre,
+                                        .pool = settings.pool,
+                                        .upstream = settings.upstream_name,
+                                        .control = settings.control,
+                                        .data = settings.data,
+                                        .seed_routers = settings.routers};
+  const auto engine = std::make_shared<AgentEngine>(
+      options,
+      AgentEnvironment{
+          .clock = clock,
+          .client = client,
+          .mailbox = **mailbox,
+          .upstream = settings.upstream,
+          .post_event = post_event,
+          .post_result =
+              [agent](std::string key, transport::HttpResponse result) {
+                caf::anon_send(
+                    *agent, ResultMessage{std::move(key), std::move(result)});
+              },
+          .on_drained = [&host] { host.Stop(); }});
+  *agent = actors.spawn(AgentActor, engine);
+
+  const auto data = transport::HttpServer::Listen(
+      host.Context(),
+      {.endpoint = settings.data, .make_error = ToMalformedResponse},
+      [agent](const auto& exchange) { HandleOffer(*agent, exchange); });
+  if (!data.ok()) return data.status();
+  const auto admin = ListenAdmin(
+      host.Context(), settings.admin, [agent](const auto& exchange) {
+        caf::anon_send(*agent, AgentStatusMessage{exchange});
+      });
+  if (!admin.ok()) return admin.status();
+
+  common::Log(common::Subsystem::kMain, common::LogLevel::kInfo,
+              "event=started role=agent name={} incarnation={} data={}",
+              settings.name.value, common::ToString(incarnation),
+              common::ToString(settings.data));
+  host.Run([post_event] { post_event(admission::Tick{}); },
+           [post_event] { post_event(admission::DrainRequested{}); });
+  caf::anon_send_exit(*agent, caf::exit_reason::user_shutdown);
+  *agent = nullptr;
+  return absl::OkStatus();
+}
+
+}  // namespace shallotbeam::runtime
--- /dev/null
+++ b/Source/Core/Runtime/CommandLine.h
@@ -0,0 +1,33 @@
+#ifndef SHALLOTBEAM_CORE_RUNTIME_COMMANDLINE_H_
+#define SHALLOTBEAM_CORE_RUNTIME_COMMANDLINE_H_
+
+#include <boost/program_options/options_description.hpp>
+#include <boost/program_options/variables_map.hpp>
+#include <string>
+#include <vector>
+
+#include "Common/Types.h"
+#include "absl/status/statusor.h"
+
+namespace shallotbeam::runtime {
+
+// Exit codes of the programs.
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailure = 1;  // the command failed
+inline constexpr int kExitUsage = 2;    // the command line is wrong
+
+// Parses arguments without the program's name. Returns kInvalidArgument with a
+// message for the user.
+absl::StatusOr<boost::program_options::variables_map> ParseArguments(
+    const boost::program_options::options_description& options,
+    const std::vector<std::string>& arguments);
+
+// The endpoint given by an option. Returns kInvalidArgument if it is missing or
+// is not an IP address and a port.
+absl::StatusOr<common::Endpoint> EndpointOption(
+    const boost::program_options::variables_map& values,
+    const std::string& name);
+
+}  // namespace shallotbeam::runtime
+
+#endif  // SHALLOTBEAM_CORE_RUNTIME_COMMANDLINE_H_
--- /dev/null
+++ b/Source/Core/Runtime/DispatchCall.cpp
@@ -0,0 +1,129 @@
+#include "Runtime/DispatchCall.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "Runtime/HeaderNames.h"
+#include "Runtime/OfferHeaders.h"
+#include "Runtime/Refusals.h"
+
+namespace shallotbeam::runtime {
+
+namespace {
+
+using routing::DispatchOutcome;
+using transport::CallEnd;
+
+// Time beyond the deadline in which the agent's final answer may arrive.
+constexpr common::Duration kAnswerGrace = std::chrono::seconds(1);
+
+// The response of one attempt on its way to the caller.
+class ResponseRelay : public std::enable_shared_from_this<ResponseRelay> {
+ public:
+  ResponseRelay(common::RequestId id, std::uint32_t attempt,
+                std::shared_ptr<transport::HttpExchange> exchange,
+                std::function<void(routing::RouterEvent)> post_event)
+      : id_(id),
+        attempt_(attempt),
+        exchange_(std::move(exchange)),
+        post_event_(std::move(post_event)) {}
+
+  transport::CallHandlers Handlers() {
+    return {
+        .on_head =
+            [self = shared_from_this()](const transport::ResponseHead& head) {
+              self->OnHead(head);
+            },
+        .on_body =
+            [self = shared_from_this()](std::string piece,
+                                        std::function<void()> resume) {
+              self->OnBody(std::move(piece), std::move(resume));
+            },
+        .on_end = [self =
+                       shared_from_this()](CallEnd end) { self->OnEnd(end); }};
+  }
+
+ private:
+  void OnHead(const transport::ResponseHead& head) {
+    refusal_ = ParseRefusal(head.headers);
+    if (refusal_) return;
+    response_.status = head.status;
+    response_.headers = {
+        {"Content-Type", std::string(head.headers["Content-Type"])},
+        {std::string(kVerdictHeader),
+         std::string(common::ToString(common::Verdict::kCompleted))},
+        {std::string(kRequestIdHeader), common::ToString(id_)}};
+    streamed_ = head.chunked;
+    if (!streamed_) return;
+    // The verdict of a stream is known at its end only.
+    response_.headers.erase(response_.headers.begin() + 1);
+    exchange_->StartStream(response_, attempt_);
+    post_event_(routing::ResponseStarted{.id = id_, .attempt = attempt_});
+  }
+
+  void OnBody(std::string piece, std::function<void()> resume) {
+    if (streamed_) {
+      return exchange_->Write(std::move(piece), std::move(resume), attempt_);
+    }
+    response_.body += piece;
+    resume();
+  }
+
+  void OnEnd(CallEnd end) {
+    switch (end) {
+      case CallEnd::kCancelled:
+        return;
+      case CallEnd::kNotSent:
+        return Post(DispatchOutcome::kNotSent);
+      case CallEnd::kBroken:
+      case CallEnd::kTimedOut:
+        return Post(DispatchOutcome::kLost);
+      case CallEnd::kComplete:
+        break;
+    }
+    if (refusal_) return Post(DispatchOutcome::kRefused);
+    if (streamed_) {
+      exchange_->Finish(attempt_);
+    } else {
+      exchange_->Send(std::move(response_), attempt_);
+    }
+    Post(DispatchOutcome::kCompleted);
+  }
+
+  void Post(DispatchOutcome outcome) {
+    post_event_(routing::DispatchEnded{
+        .id = id_,
+        .attempt = attempt_,
+        .outcome = outcome,
+        .refusal = refusal_.value_or(common::Refusal())});
+  }
+
+  common::RequestId id_;
+  std::uint32_t attempt_;
+  std::shared_ptr<transport::HttpExchange> exchange_;
+  std::function<void(routing::RouterEvent)> post_event_;
+  std::optional<common::Refusal> refusal_;
+  transport::HttpResponse response_;
+  bool streamed_ = false;
+};
+
+}  // namespace
+
+std::shared_ptr<transport::HttpCall> StartDispatch(
+    transport::HttpClient& client, const common::ProcessName& router,
+    const routing::DispatchRequest& action,
+    std::shared_ptr<transport::HttpExchange> exchange,
+    std::function<void(routing::RouterEvent)> post_event) {
+  transport::HttpRequest request =
+      MakeOffer(router, action, exchange->Request());
+  const auto relay = std::make_shared<ResponseRelay>(
+      action.id, action.attempt, std::move(exchange), std::move(post_event));
+  return client.Start(action.endpoint, std::move(request),
+                      action.time_left + kAnswerGrace, relay->Handlers());
+}
+
+}  // namespace shallotbeam::runtime
--- /dev/null
+++ b/Source/Core/Runtime/ProcessHost.h
@@ -0,0 +1,47 @@
+#ifndef SHALLOTBEAM_CORE_RUNTIME_PROCESSHOST_H_
+#define SHALLOTBEAM_CORE_RUNTIME_PROCESSHOST_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <thread>
+#include <vector>
+
+#include "Common/Clock.h"
+#include "Common/Types.h"
+
+namespace shallotbeam::runtime {
+
+// Network threads, ticks and signals of a process.
+class ProcessHost {
+ public:
+  explicit ProcessHost(int threads);
+
+  boost::asio::io_context& Context() { return context_; }
+
+  // Calls `on_tick` every 10 ms and `on_drain` at the first signal to end.
+  // Returns after Stop() or a second signal.
+  void Run(std::function<void()> on_tick, std::function<void()> on_drain);
+  // Thread-safe.
+  void Stop() { context_.stop(); }
+
+ private:
+  void ScheduleTick();
+  void AwaitSignal();
+
+  int threads_;
+  boost::asio::io_context context_;
+  boost::asio::steady_timer timer_;
+  boost::asio::signal_set signals_;
+  std::function<void()> on_tick_;
+  std::function<void()> on_drain_;
+  bool draining_ = false;
+};
+
+// A random number for one run of a process.
+common::Incarnation DrawIncarnation();
+
+}  // namespace shallotbeam::runtime
+
+#endif  // SHALLOTBEAM_CORE_RUNTIME_PROCESSHOST_H_
--- /dev/null
+++ b/Source/Core/Runtime/RouterEngine.h
@@ -0,0 +1,81 @@
+#ifndef SHALLOTBEAM_CORE_RUNTIME_ROUTERENGINE_H_
+#define SHALLOTBEAM_CORE_RUNTIME_ROUTERENGINE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "Common/Clock.h"
+#include "Platform/KeyValueStore.h"
+#include "Routing/Router.h"
+#include "Runtime/ConfigHolder.h"
+#include "Runtime/PeerLink.h"
+#include "Transport/HttpClient.h"
+#include "Transport/HttpServer.h"
+#include "Transport/Mailbox.h"
+
+namespace shallotbeam::runtime {
+
+// What the engine works with. The callbacks may be called from any thread and
+// must hand over to the thread of the engine.
+struct RouterEnvironment {
+  const common::Clock& clock;
+  transport::HttpClient& client;
+  transport::Mailbox& mailbox;
+  platform::KeyValueStore& store;
+  std::function<void(routing::RouterEvent)> post_event;
+  std::function<void(platform::StoredValue)> post_stored_config;
+  std::function<void()> on_drained;
+};
+
+// Owns the state of a router and carries out its actions. Used by one thread.
+class RouterEngine {
+ public:
+  RouterEngine(const routing::RouterOptions& options,
+               RouterEnvironment environment);
+
+  void OnCaller(std::shared_ptr<transport::HttpExchange> exchange,
+                const routing::RouterEvent& event, common::RequestId id);
+  void OnEvent(const routing::RouterEvent& event);
+  void OnControlBytes(std::string_view bytes);
+  void OnStoredConfig(const platform::StoredValue& stored);
+  void OnTick();
+
+  const routing::RouterState& State() const { return state_; }
+
+ private:
+  // A caller's connection and the attempt that serves it.
+  struct Call {
+    std::shared_ptr<transport::HttpExchange> exchange;
+    std::shared_ptr<transport::HttpCall> dispatch;
+    std::uint32_t attempt = 0;
+  };
+
+  void Do(const routing::DispatchRequest& action);
+  void Do(const routing::CancelDispatch& action);
+  void Do(const routing::RefuseRequest& action);
+  void Do(const routing::TruncateResponse& action);
+  void Do(const routing::GiveTicket& action);
+  void Do(const routing::SendMessage& action);
+  void Do(const routing::ReadBinding& action);
+  void Do(const routing::WriteBinding& action);
+  void Do(const routing::LogDecision& action);
+  void Do(const routing::DrainCompleted& action);
+
+  void EndCall(common::RequestId id);
+  void FailCall(common::RequestId id, const common::Refusal& refusal);
+  void PollStoredConfig();
+
+  RouterEnvironment environment_;
+  routing::RouterState state_;
+  ConfigHolder config_;
+  PeerLink peers_;
+  std::unordered_map<common::RequestId, Call> calls_;
+  common::TimePoint config_polled_;
+  bool config_poll_in_flight_ = false;
+};
+
+}  // namespace shallotbeam::runtime
+
+#endif  // SHALLOTBEAM_CORE_RUNTIME_ROUTERENGINE_H_
--- /dev/null
+++ b/Source/Core/Runtime/RouterProcess.cpp
@@ -0,0 +1,170 @@
+#include "Runtime/RouterProcess.h"
+
+#include <atomic>
+#include <caf/all.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "Common/Logging.h"
+#include "Platform/EtcdStore.h"
+#include "Runtime/AdminServer.h"
+#include "Runtime/CallerRequest.h"
+#include "Runtime/ProcessHost.h"
+#include "Runtime/Refusals.h"
+#include "Runtime/RouterEngine.h"
+
+namespace shallotbeam::runtime {
+
+// Messages of the router's actor.
+struct CallerMessage {
+  std::shared_ptr<transport::HttpExchange> exchange;
+  routing::RouterEvent event;
+  common::RequestId id;
+};
+struct RouterEventMessage {
+  routing::RouterEvent event;
+};
+struct RouterControlMessage {
+  std::string bytes;
+};
+struct StoredConfigMessage {
+  platform::StoredValue stored;
+};
+struct RouterTickMessage {};
+struct RouterStatusMessage {
+  std::shared_ptr<transport::HttpExchange> exchange;
+};
+
+}  // namespace shallotbeam::runtime
+
+// The messages stay inside the process, so that they need no serialisation.
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::CallerMessage)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::RouterEventMessage)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::RouterControlMessage)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::StoredConfigMessage)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::RouterTickMessage)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::RouterStatusMessage)
+
+namespace shallotbeam::runtime {
+
+namespace {
+
+caf::behavior RouterActor(caf::event_based_actor* /*self*/,
+                          const std::shared_ptr<RouterEngine>& engine) {
+  return {[engine](const CallerMessage& message) {
+            engine->OnCaller(message.exchange, message.event, message.id);
+          },
+          [engine](const RouterEventMessage& message) {
+            engine->OnEvent(message.event);
+          },
+          [engine](const RouterControlMessage& message) {
+            engine->OnControlBytes(message.bytes);
+          },
+          [engine](const StoredConfigMessage& message) {
+            engine->OnStoredConfig(message.stored);
+          },
+          [engine](const RouterTickMessage&) { engine->OnTick(); },
+          [engine](const RouterStatusMessage& message) {
+            message.exchange->Send(RouterStatus(engine->State()));
+          }};
+}
+
+// Parses a caller's request on the network thread and hands it to the actor.
+class CallerHandler {
+ public:
+  CallerHandler(caf::actor router, common::Incarnation incarnation)
+      : router_(std::move(router)), incarnation_(incarnation) {}
+
+  void operator()(std::shared_ptr<transport::HttpExchange> exchange) {
+    const common::RequestId id{.router = incarnation_,
+                               .sequence = ++*next_sequence_};
+    CallerRequest request = ParseCallerRequest(exchange->Request(), id);
+    if (const auto* refusal = std::get_if<common::Refusal>(&request)) {
+      return exchange->Send(ToResponse(*refusal));
+    }
+    CallerMessage message{.exchange = std::move(exchange), .id = id};
+    if (auto* arrived = std::get_if<routing::RequestArrived>(&request)) {
+      message.event = std::move(*arrived);
+    } else {
+      message.event = std::get<routing::TicketRequested>(std::move(request));
+    }
+    caf::anon_send(router_, std::move(message));
+  }
+
+ private:
+  caf::actor router_;
+  common::Incarnation incarnation_;
+  std::shared_ptr<std::atomic<std::uint64_t>> next_sequence_ =
+      std::make_shared<std::atomic<std::uint64_t>>(0);
+};
+
+}  // namespace
+
+absl::Status RunRouter(const RouterSettings& settings) {
+  const common::Incarnation incarnation = DrawIncarnation();
+  const common::SteadyClock clock;
+  ProcessHost host(settings.threads);
+  caf::actor_system_config actor_config;
+  actor_config.set("scheduler.max-threads", 1);
+  caf::actor_system actors(actor_config);
+  transport::HttpClient client(host.Context());
+  platform::EtcdStore store(client, {.endpoint = settings.platform});
+
+  // Set before any message can arrive through it.
+  const auto router = std::make_shared<caf::actor>();
+  const auto post_event = [router](routing::RouterEvent event) {
+    caf::anon_send(*router, RouterEventMessage{std::move(event)});
+  };
+  auto mailbox =
+      transport::Mailbox::Open(settings.control, [router](std::string bytes) {
+        if (*router) caf::anon_send(*router, RouterControlMessage{bytes});
+      });
+  if (!mailbox.ok()) return mailbox.status();
+
+  const routing::RouterOptions options{.name = settings.name,
+                                       .incarnation = incarnation,
+                                       .data_centre = settings.data_centre,
+                                       .control = settings.control,
+                                       .seed = common::ToNumber(incarnation)};
+  const auto engine = std::make_shared<RouterEngine>(
+      options, RouterEnvironment{
+                   .clock = clock,
+                   .client = client,
+                   .mailbox = **mailbox,
+                   .store = store,
+                   .post_event = post_event,
+                   .post_stored_config =
+                       [router](platform::StoredValue stored) {
+                         caf::anon_send(*router,
+                                        StoredConfigMessage{std::move(stored)});
+                       },
+                   .on_drained = [&host] { host.Stop(); }});
+  *router = actors.spawn(RouterActor, engine);
+
+  const auto callers = transport::HttpServer::Listen(
+      host.Context(),
+      {.endpoint = settings.callers, .make_error = ToMalformedResponse},
+      CallerHandler(*router, incarnation));
+  if (!callers.ok()) return callers.status();
+  const auto admin = ListenAdmin(
+      host.Context(), settings.admin, [router](const auto& exchange) {
+        caf::anon_send(*router, RouterStatusMessage{exchange});
+      });
+  if (!admin.ok()) return admin.status();
+
+  common::Log(common::Subsystem::kMain, common::LogLevel::kInfo,
+              "event=started role=router name={} incarnation={} callers={}",
+              settings.name.value, common::ToString(incarnation),
+              common::ToString(settings.callers));
+  host.Run([router] { caf::anon_send(*router, RouterTickMessage{}); },
+           [&] {
+             (*callers)->Close();
+             post_event(routing::DrainRequested{});
+           });
+  caf::anon_send_exit(*router, caf::exit_reason::user_shutdown);
+  *router = nullptr;
+  return absl::OkStatus();
+}
+
+}  // namespace shallotbeam::runtime
--- /dev/null
+++ b/Source/Core/Runtime/RouterProcess.h
@@ -0,0 +1,15 @@
+#ifndef SHALLOTBEAM_CORE_RUNTIME_ROUTERPROCESS_H_
+#define SHALLOTBEAM_CORE_RUNTIME_ROUTERPROCESS_H_
+
+#include "Runtime/ProcessSettings.h"
+#include "absl/status/status.h"
+
+namespace shallotbeam::runtime {
+
+// Runs a router until it has drained after SIGTERM or SIGINT; a second signal
+// ends it at once. Returns kUnavailable if an address can't be bound.
+absl::Status RunRouter(const RouterSettings& settings);
+
+}  // namespace shallotbeam::runtime
+
+#endif  // SHALLOTBEAM_CORE_RUNTIME_ROUTERPROCESS_H_
--- /dev/null
+++ b/Source/Core/Runtime/UpstreamCall.cpp
@@ -0,0 +1,144 @@
+#include "Runtime/UpstreamCall.h"
+
+#include <utility>
+
+#include "Common/Verdict.h"
+#include "Runtime/HeaderNames.h"
+#include "Runtime/UsageMeter.h"
+
+namespace shallotbeam::runtime {
+
+namespace {
+
+using admission::UpstreamOutcome;
+using transport::CallEnd;
+
+constexpr int kTooManyRequests = 429;
+constexpr int kFirstServerError = 500;
+// Tokens between two reports of progress, to keep events few.
+constexpr std::uint64_t kProgressTokens = 32;
+
+UpstreamOutcome OutcomeOf(CallEnd end, int status) {
+  switch (end) {
+    case CallEnd::kNotSent:
+      return UpstreamOutcome::kNotSent;
+    case CallEnd::kTimedOut:
+      return UpstreamOutcome::kTimedOut;
+    case CallEnd::kBroken:
+    case CallEnd::kCancelled:
+      return UpstreamOutcome::kBroken;
+    case CallEnd::kComplete:
+      break;
+  }
+  if (status == kTooManyRequests) return UpstreamOutcome::kRefused;
+  if (status >= kFirstServerError) return UpstreamOutcome::kError;
+  return UpstreamOutcome::kCompleted;
+}
+
+// The response of the upstream on its way to the router.
+class UpstreamRelay : public std::enable_shared_from_this<UpstreamRelay> {
+ public:
+  UpstreamRelay(const UpstreamCallOptions& options,
+                std::shared_ptr<transport::HttpExchange> exchange,
+                UpstreamCallHandlers handlers)
+      : options_(options),
+        exchange_(std::move(exchange)),
+        handlers_(std::move(handlers)) {}
+
+  transport::CallHandlers Handlers() {
+    return {
+        .on_head =
+            [self = shared_from_this()](const transport::ResponseHead& head) {
+              self->OnHead(head);
+            },
+        .on_body =
+            [self = shared_from_this()](std::string piece,
+                                        std::function<void()> resume) {
+              self->OnBody(std::move(piece), std::move(resume));
+            },
+        .on_end = [self =
+                       shared_from_this()](CallEnd end) { self->OnEnd(end); }};
+  }
+
+ private:
+  void OnHead(const transport::ResponseHead& head) {
+    handlers_.post_event(admission::UpstreamResponded{.id = options_.id});
+    response_.status = head.status;
+    response_.headers = {
+        {"Content-Type", std::string(head.headers["Content-Type"])},
+        {std::string(kVerdictHeader),
+         std::string(common::ToString(common::Verdict::kCompleted))}};
+    const bool served = OutcomeOf(CallEnd::kComplete, head.status) ==
+                        UpstreamOutcome::kCompleted;
+    streamed_ = head.chunked && served && !options_.keep_result;
+    if (streamed_) exchange_->StartStream(response_);
+  }
+
+  void OnBody(std::string piece, std::function<void()> resume) {
+    if (!streamed_) {
+      response_.body += piece;
+      return resume();
+    }
+    FeedEventStream(meter_, piece);
+    if (meter_.generated_tokens >= reported_tokens_ + kProgressTokens) {
+      reported_tokens_ = meter_.generated_tokens;
+      handlers_.post_event(admission::UpstreamProgressed{
+          .id = options_.id, .generated_tokens = reported_tokens_});
+    }
+    exchange_->Write(std::move(piece), std::move(resume));
+  }
+
+  void OnEnd(CallEnd end) {
+    if (end == CallEnd::kCancelled) return;
+    if (!streamed_) FeedWholeBody(meter_, response_.body);
+    const UpstreamOutcome outcome = OutcomeOf(end, response_.status);
+    const std::size_t response_bytes = response_.body.size();
+    if (outcome == UpstreamOutcome::kCompleted) Complete();
+    handlers_.post_event(
+        admission::UpstreamEnded{.id = options_.id,
+                                 .outcome = outcome,
+                                 .prompt_tokens = meter_.prompt_tokens,
+                                 .generated_tokens = meter_.generated_tokens,
+                                 .response_bytes = response_bytes});
+  }
+
+  void Complete() {
+    if (streamed_) return exchange_->Finish();
+    if (options_.keep_result) handlers_.keep(response_);
+    exchange_->Send(std::move(response_));
+  }
+
+  UpstreamCallOptions options_;
+  std::shared_ptr<transport::HttpExchange> exchange_;
+  UpstreamCallHandlers handlers_;
+  transport::HttpResponse response_;
+  UsageMeter meter_;
+  std::uint64_t reported_tokens_ = 0;
+  bool streamed_ = false;
+};
+
+}  // namespace
+
+std::shared_ptr<transport::HttpCall> StartUpstreamCall(
+    transport::HttpClient& client, const UpstreamCallOptions& options,
+    std::shared_ptr<transport::HttpExchange> exchange,
+    UpstreamCallHandlers handlers) {
+  transport::HttpRequest request{.method = "POST", .target = options.path};
+  const std::string type =
+      transport::HeaderOf(exchange->Request(), "Content-Type");
+  if (!type.empty()) request.headers.set("Content-Type", type);
+  for (const std::string_view name :
+       {kWorkspaceHeader, kIdempotencyKeyHeader}) {
+    const std::string value = transport::HeaderOf(exchange->Request(), name);
+    if (value.empty()) continue;
+    request.headers.set(boost::beast::string_view(name.data(), name.size()),
+                        value);
+  }
+  request.body = exchange->Request().body;
+  const auto relay = std::make_shared<UpstreamRelay>(
+      options, std::move(exchange), std::move(handlers));
+  return client.Start(options.upstream, std::move(request), options.timeout,
+                      relay->Handlers());
+}
+
+}  // namespace shallotbeam::runtime
--- /dev/null
+++ b/Source/Core/Runtime/UsageMeter.h
@@ -0,0 +1,26 @@
+#ifndef SHALLOTBEAM_CORE_RUNTIME_USAGEMETER_H_
+#define SHALLOTBEAM_CORE_RUNTIME_USAGEMETER_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+// Counts the tokens of a model engine's response.
+namespace shallotbeam::runtime {
+
+struct UsageMeter {
+  std::uint64_t prompt_tokens = 0;
+  std::uint64_t generated_tokens = 0;
+  std::string partial_line;
+};
+
+// Feeds a piece of an event stream. Each data event counts as one token until
+// the engine reports its own `usage`.
+void FeedEventStream(UsageMeter& meter, std::string_view piece);
+
+// Reads the `usage` object of a whole JSON response, if it has one.
+void FeedWholeBody(UsageMeter& meter, std::string_view body);
+
+}  // namespace shallotbeam::runtime
+
+#endif  // SHALLOTBEAM_CORE_RUNTIME_USAGEMETER_H_
--- /dev/null
+++ b/Source/Core/Suspects/SuspectList.cpp
@@ -0,0 +1,103 @@
+#include "Suspects/SuspectList.h"
+
+#include <algorithm>
+
+namespace shallotbeam::suspects {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+protocol::SuspectRow ToRow(common::Fingerprint fingerprint,
+                           const Suspect& suspect, common::TimePoint now) {
+  const auto ban_left =
+      std::max(suspect.banned_until - now, common::Duration());
+  return {.fingerprint = fingerprint,
+          .crashes = suspect.crashes,
+          .ban_left = duration_cast<milliseconds>(ban_left),
+          .age = duration_cast<milliseconds>(now - suspect.last_crash)};
+}
+
+}  // namespace
+
+bool IsSuspect(const SuspectList& list, common::Fingerprint fingerprint,
+               common::TimePoint now) {
+  const auto it = list.suspects.find(fingerprint);
+  return it != list.suspects.end() && it->second.crashes > 0 &&
+         now - it->second.last_crash < list.options.memory;
+}
+
+bool IsBanned(const SuspectList& list, common::Fingerprint fingerprint,
+              common::TimePoint now) {
+  const auto it = list.suspects.find(fingerprint);
+  return it != list.suspects.end() && now < it->second.banned_until;
+}
+
+protocol::Suspects NoteCrash(SuspectList& list,
+                             const std::vector<common::Fingerprint>& in_flight,
+                             common::TimePoint now) {
+  const auto known = std::count_if(
+      in_flight.begin(), in_flight.end(),
+      [&](common::Fingerprint it) { return IsSuspect(list, it, now); });
+  protocol::Suspects news;
+  for (const common::Fingerprint fingerprint : in_flight) {
+    const bool was_suspect = IsSuspect(list, fingerprint, now);
+    Suspect& suspect = list.suspects[fingerprint];
+    if (!was_suspect) suspect.crashes = 0;
+    ++suspect.crashes;
+    suspect.last_crash = now;
+    if (was_suspect && known == 1) {
+      suspect.banned_until = now + list.options.poison_ban;
+    }
+    news.rows.push_back(ToRow(fingerprint, suspect, now));
+  }
+  return news;
+}
+
+void NoteCompleted(SuspectList& list, common::Fingerprint fingerprint) {
+  const auto it = list.suspects.find(fingerprint);
+  if (it == list.suspects.end()) return;
+  it->second.crashes = 0;
+}
+
+bool Merge(SuspectList& list, const protocol::Suspects& suspects,
+           common::TimePoint now) {
+  bool news = false;
+  for (const protocol::SuspectRow& row : suspects.rows) {
+    Suspect& suspect = list.suspects[row.fingerprint];
+    const common::TimePoint last_crash = now - row.age;
+    const common::TimePoint banned_until =
+        row.ban_left.count() > 0 ? now + row.ban_left : common::TimePoint();
+    // Times of peers differ by the delivery delay; a second is no news.
+    constexpr auto kSlack = std::chrono::seconds(1);
+    if (row.crashes > suspect.crashes) {
+      suspect.crashes = row.crashes;
+      suspect.last_crash = std::max(suspect.last_crash, last_crash);
+      news = true;
+    }
+    if (banned_until > suspect.banned_until + kSlack) {
+      suspect.banned_until = banned_until;
+      news = true;
+    }
+  }
+  return news;
+}
+
+protocol::Suspects Snapshot(const SuspectList& list, common::TimePoint now) {
+  protocol::Suspects all;
+  for (const auto& [fingerprint, suspect] : list.suspects) {
+    if (suspect.crashes == 0 && suspect.banned_until <= now) continue;
+    all.rows.push_back(ToRow(fingerprint, suspect, now));
+  }
+  return all;
+}
+
+void Expire(SuspectList& list, common::TimePoint now) {
+  std::erase_if(list.suspects, [&](const auto& entry) {
+    return now >= entry.second.banned_until &&
+           now - entry.second.last_crash >= list.options.memory;
+  });
+}
+
+}  // namespace shallotbeam::suspects
--- /dev/null
+++ b/Source/Core/Suspects/SuspectList.h
@@ -0,0 +1,58 @@
+#ifndef SHALLOTBEAM_CORE_SUSPECTS_SUSPECTLIST_H_
+#define SHALLOTBEAM_CORE_SUSPECTS_SUSPECTLIST_H_
+
+#include <unordered_map>
+#include <vector>
+
+#include "Common/Clock.h"
+#include "Common/Types.h"
+#include "Protocol/Messages.h"
+
+// Requests that were in flight when an upstream crashed.
+namespace shallotbeam::suspects {
+
+struct SuspectOptions {
+  // How long a proven fingerprint is refused.
+  common::Duration poison_ban = std::chrono::minutes(10);
+  // How long a suspect is remembered without a further crash.
+  common::Duration memory = std::chrono::minutes(10);
+};
+
+struct Suspect {
+  int crashes = 0;
+  common::TimePoint last_crash;
+  common::TimePoint banned_until;
+};
+
+struct SuspectList {
+  SuspectOptions options;
+  std::unordered_map<common::Fingerprint, Suspect> suspects;
+};
+
+bool IsSuspect(const SuspectList& list, common::Fingerprint fingerprint,
+               common::TimePoint now);
+bool IsBanned(const SuspectList& list, common::Fingerprint fingerprint,
+              common::TimePoint now);
+
+// Records a crash with `in_flight` requests. If exactly one of them was a
+// suspect already, that one is banned. Returns the rows to tell peers.
+protocol::Suspects NoteCrash(SuspectList& list,
+                             const std::vector<common::Fingerprint>& in_flight,
+                             common::TimePoint now);
+
+// A suspect that completed is cleared. Does not lift a ban.
+void NoteCompleted(SuspectList& list, common::Fingerprint fingerprint);
+
+// Takes over what a peer knows; returns true if that was news.
+bool Merge(SuspectList& list, const protocol::Suspects& suspects,
+           common::TimePoint now);
+
+// Everything worth telling a peer that starts empty.
+protocol::Suspects Snapshot(const SuspectList& list, common::TimePoint now);
+
+// Forgets entries that are too old.
+void Expire(SuspectList& list, common::TimePoint now);
+
+}  // namespace shallotbeam::suspects
+
+#endif  // SHALLOTBEAM_CORE_SUSPECTS_SUSPECTLIST_H_
--- /dev/null
+++ b/Source/Core/Transport/HttpSession.cpp
@@ -0,0 +1,278 @@
+#include "Transport/HttpSession.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sstream>
+#include <utility>
+
+namespace shallotbeam::transport {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace net = boost::asio;
+using boost::system::error_code;
+
+constexpr unsigned kHttpVersion = 11;
+constexpr std::size_t kWatchBufferBytes = 512;
+
+template <typename Body>
+void SetHead(http::response<Body>& response, const HttpResponse& head,
+             bool keep_alive) {
+  response.version(kHttpVersion);
+  response.result(static_cast<unsigned>(head.status));
+  response.keep_alive(keep_alive);
+  for (const auto& [name, value] : head.headers) response.set(name, value);
+}
+
+std::string SerialiseWhole(const HttpResponse& source, bool keep_alive) {
+  http::response<http::string_body> response;
+  SetHead(response, source, keep_alive);
+  response.body() = source.body;
+  response.prepare_payload();
+  std::ostringstream text;
+  text << response;
+  return text.str();
+}
+
+std::string SerialiseHead(const HttpResponse& source, bool keep_alive) {
+  http::response<http::empty_body> response;
+  SetHead(response, source, keep_alive);
+  response.chunked(true);
+  std::ostringstream text;
+  text << response.base();
+  return text.str();
+}
+
+}  // namespace
+
+HttpSession::HttpSession(net::ip::tcp::socket socket,
+                         std::shared_ptr<HttpServer::Shared> shared)
+    : stream_(std::move(socket)), shared_(std::move(shared)) {
+  ++shared_->connections;
+  error_code ec;
+  // Small messages must not wait for acknowledgements of earlier ones.
+  stream_.socket().set_option(net::ip::tcp::no_delay(true), ec);
+}
+
+HttpSession::~HttpSession() { --shared_->connections; }
+
+void HttpSession::Run() {
+  net::dispatch(stream_.get_executor(),
+                [self = shared_from_this()] { self->ReadHeader(); });
+}
+
+void HttpSession::Post(const std::shared_ptr<HttpExchange>& exchange,
+                       std::function<void(HttpSession&)> action) {
+  const auto session = exchange->session_.lock();
+  if (session == nullptr) return;
+  net::post(session->stream_.get_executor(),
+            [session, exchange, action = std::move(action)] {
+              if (session->exchange_ == exchange) action(*session);
+            });
+}
+
+void HttpSession::ReadHeader() {
+  if (closed_ || shared_->closing) return Close();
+  parser_.emplace();
+  parser_->header_limit(
+      static_cast<std::uint32_t>(shared_->options.max_header_bytes));
+  parser_->body_limit(shared_->options.max_body_bytes);
+  stream_.expires_after(shared_->options.idle_timeout);
+  http::async_read_header(
+      stream_, buffer_, *parser_,
+      [self = shared_from_this()](error_code ec, std::size_t) {
+        if (ec) return self->RefuseMalformed(ec);
+        self->ReadBody();
+      });
+}
+
+void HttpSession::ReadBody() {
+  const auto& message = parser_->get();
+  const auto read = [self = shared_from_this()] {
+    self->stream_.expires_after(self->shared_->options.receive_timeout);
+    http::async_read(self->stream_, self->buffer_, *self->parser_,
+                     [self](error_code ec, std::size_t) {
+                       if (ec) return self->RefuseMalformed(ec);
+                       self->OnRequest();
+                     });
+  };
+  if (!beast::iequals(message[http::field::expect], "100-continue")) {
+    return read();
+  }
+  auto bytes = std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
+  net::async_write(
+      stream_, net::buffer(*bytes),
+      [bytes, read, self = shared_from_this()](error_code ec, std::size_t) {
+        if (ec) return self->Close();
+        read();
+      });
+}
+
+void HttpSession::RefuseMalformed(error_code ec) {
+  const auto& options = shared_->options;
+  int status = 0;
+  if (ec == http::error::header_limit) status = 431;
+  if (ec == http::error::body_limit) status = 413;
+  const bool malformed =
+      ec.category() == error_code(http::error::bad_method).category() &&
+      ec != http::error::end_of_stream && ec != http::error::partial_message;
+  if (status == 0 && malformed) status = 400;
+  if (status == 0 || !options.make_error) return Close();
+  keep_alive_ = false;
+  response_ended_ = true;
+  stream_.expires_after(options.send_timeout);
+  Queue(SerialiseWhole(options.make_error(status), /*keep_alive=*/false),
+        nullptr);
+}
+
+void HttpSession::OnRequest() {
+  stream_.expires_never();
+  http::request<http::string_body> message = parser_->release();
+  keep_alive_ = message.keep_alive();
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.body = std::move(message.body());
+  request.headers = std::move(message.base());
+  head_sent_ = false;
+  response_ended_ = false;
+  source_ = 0;
+  client_gone_ = nullptr;
+  exchange_ = std::make_shared<HttpExchange>(std::move(request));
+  exchange_->session_ = weak_from_this();
+  WatchClient();
+  shared_->handler(exchange_);
+}
+
+// Reads ahead while the response is made: an end of the stream tells that the
+// client has gone; other bytes belong to its next request.
+void HttpSession::WatchClient() {
+  if (watching_ || closed_) return;
+  watching_ = true;
+  stream_.async_read_some(
+      buffer_.prepare(kWatchBufferBytes),
+      [self = shared_from_this()](error_code ec, std::size_t n) {
+        self->watching_ = false;
+        if (ec) return self->Close();
+        self->buffer_.commit(n);
+        if (self->exchange_ == nullptr) return self->ReadHeader();
+        // One request ahead is enough; a flood of them must not be buffered.
+        if (self->buffer_.size() < self->shared_->options.max_header_bytes) {
+          self->WatchClient();
+        }
+      });
+}
+
+void HttpSession::SetSource(std::uint32_t source) {
+  if (source == source_) return;
+  if (head_sent_) return Close();
+  source_ = source;
+}
+
+void HttpSession::Send(HttpResponse response, std::uint32_t source) {
+  if (source != source_ || head_sent_) return;
+  head_sent_ = true;
+  keep_alive_ = keep_alive_ && !shared_->closing;
+  response_ended_ = true;
+  Queue(SerialiseWhole(response, keep_alive_), nullptr);
+}
+
+void HttpSession::StartStream(HttpResponse head, std::uint32_t source) {
+  if (source != source_ || head_sent_) return;
+  head_sent_ = true;
+  keep_alive_ = keep_alive_ && !shared_->closing;
+  Queue(SerialiseHead(head, keep_alive_), nullptr);
+}
+
+void HttpSession::Write(std::string chunk, std::function<void()> flushed,
+                        std::uint32_t source) {
+  if (source != source_ || !head_sent_ || response_ended_) return;
+  if (chunk.empty()) {
+    if (flushed) flushed();
+    return;
+  }
+  Queue(beast::buffers_to_string(http::make_chunk(net::buffer(chunk))),
+        std::move(flushed));
+}
+
+void HttpSession::Finish(std::uint32_t source) {
+  if (source != source_ || !head_sent_ || response_ended_) return;
+  response_ended_ = true;
+  Queue(beast::buffers_to_string(http::make_chunk_last()), nullptr);
+}
+
+void HttpSession::Fail(HttpResponse response, const std::string& last_chunk) {
+  if (response_ended_) return;
+  if (!head_sent_) return Send(std::move(response), source_);
+  response_ended_ = true;
+  keep_alive_ = false;
+  if (last_chunk.empty()) return Close();
+  Queue(beast::buffers_to_string(http::make_chunk(net::buffer(last_chunk))),
+        nullptr);
+}
+
+void HttpSession::OnClientGone(std::function<void()> handler) {
+  if (closed_) return handler();
+  client_gone_ = std::move(handler);
+}
+
+void HttpSession::Queue(std::string bytes, std::function<void()> flushed) {
+  if (closed_) {
+    if (flushed) flushed();
+    return;
+  }
+  output_.push_back({.bytes = std::move(bytes), .flushed = std::move(flushed)});
+  if (!writing_) WriteNext();
+}
+
+void HttpSession::WriteNext() {
+  writing_ = true;
+  stream_.expires_after(shared_->options.send_timeout);
+  net::async_write(stream_, net::buffer(output_.front().bytes),
+                   [self = shared_from_this()](error_code ec, std::size_t) {
+                     self->writing_ = false;
+                     if (ec || self->closed_) return self->Close();
+                     self->stream_.expires_never();
+                     const auto flushed =
+                         std::move(self->output_.front().flushed);
+                     self->output_.pop_front();
+                     if (flushed) flushed();
+                     if (self->closed_ || self->writing_) return;
+                     if (!self->output_.empty()) return self->WriteNext();
+                     if (self->response_ended_) self->EndResponse();
+                   });
+}
+
+void HttpSession::EndResponse() {
+  exchange_ = nullptr;
+  client_gone_ = nullptr;
+  if (!keep_alive_) return Close();
+  // A pending watch delivers the first bytes of the next request.
+  if (!watching_) ReadHeader();
+}
+
+void HttpSession::Close() {
+  if (closed_) return;
+  closed_ = true;
+  stream_.close();
+  const auto gone = std::exchange(client_gone_, nullptr);
+  const bool unanswered = exchange_ != nullptr && !response_ended_;
+  exchange_ = nullptr;
+  std::deque<Output> dropped;
+  // The front output is still in use by a write that has yet to be reported.
+  if (!writing_) dropped.swap(output_);
+  for (Output& it : dropped) {
+    if (it.flushed) it.flushed();
+  }
+  if (gone && unanswered) gone();
+}
+
+}  // namespace shallotbeam::transport
--- /dev/null
+++ b/Source/Core/Transport/HttpSession.h
@@ -0,0 +1,87 @@
+#ifndef SHALLOTBEAM_CORE_TRANSPORT_HTTPSESSION_H_
+#define SHALLOTBEAM_CORE_TRANSPORT_HTTPSESSION_H_
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Transport/HttpServer.h"
+
+// One connection of a client; used by HttpServer only.
+namespace shallotbeam::transport {
+
+struct HttpServer::Shared {
+  HttpServerOptions options;
+  Handler handler;
+  std::atomic<int> connections = 0;
+  std::atomic<bool> closing = false;
+  std::function<void()> close_acceptor;
+};
+
+// All members are touched on the strand of `stream_` only.
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+ public:
+  HttpSession(boost::asio::ip::tcp::socket socket,
+              std::shared_ptr<HttpServer::Shared> shared);
+  ~HttpSession();
+
+  void Run();
+
+  // Runs `action(session)` on the strand if `exchange` is the current one.
+  static void Post(const std::shared_ptr<HttpExchange>& exchange,
+                   std::function<void(HttpSession&)> action);
+
+  void SetSource(std::uint32_t source);
+  void Send(HttpResponse response, std::uint32_t source);
+  void StartStream(HttpResponse head, std::uint32_t source);
+  void Write(std::string chunk, std::function<void()> flushed,
+             std::uint32_t source);
+  void Finish(std::uint32_t source);
+  void Fail(HttpResponse response, const std::string& last_chunk);
+  void OnClientGone(std::function<void()> handler);
+
+ private:
+  struct Output {
+    std::string bytes;
+    std::function<void()> flushed;
+  };
+
+  void ReadHeader();
+  void ReadBody();
+  void OnRequest();
+  void WatchClient();
+  void RefuseMalformed(boost::system::error_code ec);
+  void Queue(std::string bytes, std::function<void()> flushed);
+  void WriteNext();
+  void EndResponse();
+  void Close();
+
+  boost::beast::tcp_stream stream_;
+  std::shared_ptr<HttpServer::Shared> shared_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<
+      boost::beast::http::request_parser<boost::beast::http::string_body>>
+      parser_;
+  std::shared_ptr<HttpExchange> exchange_;
+  std::function<void()> client_gone_;
+  std::deque<Output> output_;
+  bool writing_ = false;
+  bool watching_ = false;
+  bool head_sent_ = false;
+  bool response_ended_ = false;
+  bool keep_alive_ = false;
+  bool closed_ = false;
+  std::uint32_t source_ = 0;
+};
+
+}  // namespace shallotbeam::transport
+
+#endif  // SHALLOTBEAM_CORE_TRANSPORT_HTTPSESSION_H_
--- /dev/null
+++ b/Source/Core/Wire/Fields.h
@@ -0,0 +1,71 @@
+#ifndef SHALLOTBEAM_CORE_WIRE_FIELDS_H_
+#define SHALLOTBEAM_CORE_WIRE_FIELDS_H_
+
+#include <tuple>
+
+#include "Protocol/Messages.h"
+
+// The encoded fields of each struct, in order. `T` is const when encoding.
+namespace shallotbeam::wire {
+
+template <typename T, typename Struct>
+concept MaybeConst = std::is_same_v<std::remove_const_t<T>, Struct>;
+
+auto Fields(MaybeConst<common::RequestId> auto& it) {
+  return std::tie(it.router, it.sequence);
+}
+auto Fields(MaybeConst<common::Endpoint> auto& it) {
+  return std::tie(it.address, it.port);
+}
+auto Fields(MaybeConst<protocol::PeerAddress> auto& it) {
+  return std::tie(it.process, it.control);
+}
+auto Fields(MaybeConst<protocol::Heartbeat> auto& it) {
+  return std::tie(it.role, it.data_centre, it.control, it.config_version,
+                  it.data, it.pool, it.upstream, it.state, it.free_slots,
+                  it.slot_limit, it.known_routers);
+}
+auto Fields(MaybeConst<protocol::WorkspaceDemand> auto& it) {
+  return std::tie(it.workspace, it.waiting, it.oldest_wait, it.urgency);
+}
+auto Fields(MaybeConst<protocol::Demand> auto& it) {
+  return std::tie(it.pool, it.sequence, it.workspaces);
+}
+auto Fields(MaybeConst<protocol::Grant> auto& it) {
+  return std::tie(it.grant, it.pool, it.workspace);
+}
+auto Fields(MaybeConst<protocol::GrantReturn> auto& it) {
+  return std::tie(it.grant);
+}
+auto Fields(MaybeConst<protocol::ShareRow> auto& it) {
+  return std::tie(it.writer, it.pool, it.workspace, it.charged, it.refunded);
+}
+auto Fields(MaybeConst<protocol::LiftRow> auto& it) {
+  return std::tie(it.pool, it.workspace, it.lift);
+}
+auto Fields(MaybeConst<protocol::Shares> auto& it) {
+  return std::tie(it.rows, it.lifts);
+}
+auto Fields(MaybeConst<protocol::Revoke> auto& it) {
+  return std::tie(it.request, it.bound_to, it.workspace, it.key,
+                  it.binding_revision);
+}
+auto Fields(MaybeConst<protocol::RevokeReply> auto& it) {
+  return std::tie(it.request, it.begun);
+}
+auto Fields(MaybeConst<protocol::SuspectRow> auto& it) {
+  return std::tie(it.fingerprint, it.crashes, it.ban_left, it.age);
+}
+auto Fields(MaybeConst<protocol::Suspects> auto& it) {
+  return std::tie(it.rows);
+}
+auto Fields(MaybeConst<protocol::ConfigRequest> auto& it) {
+  return std::tie(it.have);
+}
+auto Fields(MaybeConst<protocol::ConfigDocument> auto& it) {
+  return std::tie(it.version, it.document);
+}
+
+}  // namespace shallotbeam::wire
+
+#endif  // SHALLOTBEAM_CORE_WIRE_FIELDS_H_
