--- a/Source/Core/Config/Document.cpp
+++ b/Source/Core/Config/Document.cpp
@@ -210,8 +210,9 @@
   std::error_code ec;
   for (const auto& it : std::filesystem::directory_iterator(folder, ec)) {
     const auto extension = it.path().extension();
-    if (extension == ".json" || extension == ".jsonc")
+    if (extension == ".json" || extension == ".jsonc") {
       files.push_back(it.path());
+    }
   }
   if (files.empty()) {
     return absl::NotFoundError(
--- a/Source/Core/Platform/KeyValueStore.cpp
+++ b/Source/Core/Platform/KeyValueStore.cpp
@@ -24,15 +24,17 @@
                             std::uint64_t expected_revision,
                             const std::string& value,
                             std::function<void(SwapResult)> done) {
-  store.CompareAndSwap(
-      key, expected_revision, value,
-      [&store, key, expected_revision, value,
-       done = std::move(done)](SwapResult result) {
-        if (result.outcome != SwapOutcome::kUnavailable) return done(result);
-        store.Read(key, [expected_revision, value, done](ReadResult read) {
-          done(JudgeReadBack(read, expected_revision, value));
-        });
-      });
+  store.CompareAndSwap(key, expected_revision, value,
+                       [&store, key, expected_revision, value,
+                        done = std::move(done)](const SwapResult& result) {
+                         if (result.outcome != SwapOutcome::kUnavailable) {
+                           return done(result);
+                         }
+                         store.Read(key, [expected_revision, value,
+                                          done](const ReadResult& read) {
+                           done(JudgeReadBack(read, expected_revision, value));
+                         });
+                       });
 }
 
 }  // namespace shallotbeam::platform
--- a/Source/Core/Runtime/AgentProcess.cpp
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -91,7 +91,8 @@
   };
   auto mailbox =
       transport::Mailbox::Open(settings.control, [agent](std::string bytes) {
-        if (*agent) caf::anon_send(*agent, AgentControlMessage{bytes});
+        if (!*agent) return;
+        caf::anon_send(*agent, AgentControlMessage{std::move(bytes)});
       });
   if (!mailbox.ok()) return mailbox.status();
 
--- a/Source/Core/Runtime/RouterProcess.cpp
+++ b/Source/Core/Runtime/RouterProcess.cpp
@@ -118,7 +118,8 @@
   };
   auto mailbox =
       transport::Mailbox::Open(settings.control, [router](std::string bytes) {
-        if (*router) caf::anon_send(*router, RouterControlMessage{bytes});
+        if (!*router) return;
+        caf::anon_send(*router, RouterControlMessage{std::move(bytes)});
       });
   if (!mailbox.ok()) return mailbox.status();
 
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -264,7 +264,8 @@
              }
            },
        .on_body =
-           [response](std::string piece, const std::function<void()>& resume) {
+           [response](const std::string& piece,
+                      const std::function<void()>& resume) {
              response->body += piece;
              resume();
            },
--- a/Source/Core/Transport/HttpSession.cpp
+++ b/Source/Core/Transport/HttpSession.cpp
@@ -177,7 +177,7 @@
   source_ = source;
 }
 
-void HttpSession::Send(HttpResponse response, std::uint32_t source) {
+void HttpSession::Send(const HttpResponse& response, std::uint32_t source) {
   if (source != source_ || head_sent_) return;
   head_sent_ = true;
   keep_alive_ = keep_alive_ && !shared_->closing;
@@ -185,7 +185,7 @@
   Queue(SerialiseWhole(response, keep_alive_), nullptr);
 }
 
-void HttpSession::StartStream(HttpResponse head, std::uint32_t source) {
+void HttpSession::StartStream(const HttpResponse& head, std::uint32_t source) {
   if (source != source_ || head_sent_) return;
   head_sent_ = true;
   keep_alive_ = keep_alive_ && !shared_->closing;
@@ -209,9 +209,10 @@
   Queue(beast::buffers_to_string(http::make_chunk_last()), nullptr);
 }
 
-void HttpSession::Fail(HttpResponse response, const std::string& last_chunk) {
+void HttpSession::Fail(const HttpResponse& response,
+                       const std::string& last_chunk) {
   if (response_ended_) return;
-  if (!head_sent_) return Send(std::move(response), source_);
+  if (!head_sent_) return Send(response, source_);
   response_ended_ = true;
   keep_alive_ = false;
   if (last_chunk.empty()) return Close();
--- a/Source/Core/Transport/HttpSession.h
+++ b/Source/Core/Transport/HttpSession.h
@@ -40,12 +40,12 @@
                    std::function<void(HttpSession&)> action);
 
   void SetSource(std::uint32_t source);
-  void Send(HttpResponse response, std::uint32_t source);
-  void StartStream(HttpResponse head, std::uint32_t source);
+  void Send(const HttpResponse& response, std::uint32_t source);
+  void StartStream(const HttpResponse& head, std::uint32_t source);
   void Write(std::string chunk, std::function<void()> flushed,
              std::uint32_t source);
   void Finish(std::uint32_t source);
-  void Fail(HttpResponse response, const std::string& last_chunk);
+  void Fail(const HttpResponse& response, const std::string& last_chunk);
   void OnClientGone(std::function<void()> handler);
 
  private:
