Test the HTTP and nng transport

Cause: reading the session code showed that a kept-alive connection that was being watched had no idle timeout, and that an accept error (no file descriptors) was retried without a pause.

--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "Transport/HttpServer.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <utility>
 
@@ -14,6 +15,8 @@
 using boost::system::error_code;
 using net::ip::tcp;
 
+constexpr common::Duration kAcceptRetryDelay = std::chrono::milliseconds(100);
+
 }  // namespace
 
 void HttpExchange::SetSource(std::uint32_t source) {
@@ -72,18 +75,28 @@
            std::function<void(tcp::socket)> on_accept)
       : context_(context),
         acceptor_(std::move(acceptor)),
+        retry_(acceptor_.get_executor()),
         on_accept_(std::move(on_accept)) {}
 
   void Accept() {
     acceptor_.async_accept(
         net::make_strand(context_),
         [self = shared_from_this()](error_code ec, tcp::socket socket) {
-          if (ec == net::error::operation_aborted) return;
-          if (!ec) self->on_accept_(std::move(socket));
-          if (self->acceptor_.is_open()) self->Accept();
+          if (!self->acceptor_.is_open()) return;
+          if (ec) return self->AcceptLater();
+          self->on_accept_(std::move(socket));
+          self->Accept();
         });
   }
 
+  // Out of file descriptors, for example: trying again at once would spin.
+  void AcceptLater() {
+    retry_.expires_after(kAcceptRetryDelay);
+    retry_.async_wait([self = shared_from_this()](error_code) {
+      if (self->acceptor_.is_open()) self->Accept();
+    });
+  }
+
   void Close() {
     net::post(acceptor_.get_executor(), [self = shared_from_this()] {
       error_code ec;
@@ -94,6 +107,7 @@
  private:
   net::io_context& context_;
   tcp::acceptor acceptor_;
+  net::steady_timer retry_;
   std::function<void(tcp::socket)> on_accept_;
 };
 
--- a/Source/Core/Transport/HttpSession.cpp
+++ b/Source/Core/Transport/HttpSession.cpp
@@ -161,7 +161,9 @@
       buffer_.prepare(kWatchBufferBytes),
       [self = shared_from_this()](error_code ec, std::size_t n) {
         self->watching_ = false;
-        if (ec) return self->Close();
+        const bool cancelled =
+            ec == net::error::operation_aborted && !self->closed_;
+        if (ec && !cancelled) return self->Close();
         self->buffer_.commit(n);
         if (self->exchange_ == nullptr) return self->ReadHeader();
         // One request ahead is enough; a flood of them must not be buffered.
@@ -256,8 +258,10 @@
   exchange_ = nullptr;
   client_gone_ = nullptr;
   if (!keep_alive_) return Close();
-  // A pending watch delivers the first bytes of the next request.
-  if (!watching_) ReadHeader();
+  if (!watching_) return ReadHeader();
+  // The watch has no timeout, so that it is replaced by a read with one.
+  // Bytes that it has already taken are delivered to its handler.
+  stream_.cancel();
 }
 
 void HttpSession::Close() {
--- /dev/null
+++ b/Source/UnitTests/Core/Transport/HttpClientTest.cpp
@@ -0,0 +1,122 @@
+#include "HttpFixture.h"
+#include "Transport/HttpClient.h"
+
+namespace shallotbeam::transport {
+
+namespace {
+
+using Exchange = HttpFixture::Exchange;
+
+struct Result {
+  CallEnd end = CallEnd::kComplete;
+  HttpResponse response;
+};
+
+Result FetchFrom(HttpClient& client, const common::Endpoint& endpoint,
+                 common::Duration timeout = std::chrono::seconds(5)) {
+  std::promise<Result> promise;
+  client.Fetch(endpoint, {.method = "GET", .target = "/a"}, timeout,
+               [&](CallEnd end, const HttpResponse& response) {
+                 promise.set_value({.end = end, .response = response});
+               });
+  return promise.get_future().get();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpClientTest)
+
+// Guards against a wrong verdict: only kNotSent proves that nothing ran.
+BOOST_AUTO_TEST_CASE(EndsAreToldApart) {
+  HttpFixture fixture([](const Exchange& exchange) {
+    exchange->StartStream({.status = 200, .headers = {}});
+    exchange->Fail({}, "");
+  });
+  BOOST_CHECK(FetchFrom(fixture.Client(), fixture.Address()).end ==
+              CallEnd::kBroken);
+  // Port 1 on loopback refuses connections.
+  BOOST_CHECK(
+      FetchFrom(fixture.Client(), {.address = "127.0.0.1", .port = 1}).end ==
+      CallEnd::kNotSent);
+}
+
+// Guards against a server that accepts and never answers.
+BOOST_AUTO_TEST_CASE(SilentServerTimesOut) {
+  std::vector<Exchange> held;
+  HttpFixture fixture(
+      [&](const Exchange& exchange) { held.push_back(exchange); });
+  BOOST_CHECK(FetchFrom(fixture.Client(), fixture.Address(),
+                        std::chrono::milliseconds(200))
+                  .end == CallEnd::kTimedOut);
+}
+
+// Guards against a pooled connection that the server has closed meanwhile: it
+// would turn the next call into a lost one.
+BOOST_AUTO_TEST_CASE(ClosedIdleConnectionIsNotReused) {
+  HttpServerOptions options;
+  options.idle_timeout = std::chrono::milliseconds(100);
+  HttpFixture fixture(
+      [](const Exchange& exchange) {
+        exchange->Send({.status = 200, .headers = {}, .body = "ok"});
+      },
+      options);
+  for (int i = 0; i < 3; ++i) {
+    const Result result = FetchFrom(fixture.Client(), fixture.Address());
+    BOOST_CHECK(result.end == CallEnd::kComplete);
+    BOOST_CHECK_EQUAL(result.response.body, "ok");
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  }
+}
+
+// Guards against reading ahead of a slow consumer without a bound.
+BOOST_AUTO_TEST_CASE(NextPieceWaitsForResume) {
+  HttpFixture fixture([](const Exchange& exchange) {
+    exchange->Send(
+        {.status = 200, .headers = {}, .body = std::string(1 << 20, 'x')});
+  });
+  std::promise<std::function<void()>> first;
+  std::atomic<int> pieces = 0;
+  std::promise<CallEnd> end;
+  auto call = fixture.Client().Start(
+      fixture.Address(), {.method = "GET", .target = "/"},
+      std::chrono::seconds(10),
+      {.on_head = nullptr,
+       .on_body =
+           [&](const std::string&, std::function<void()> resume) {
+             if (++pieces == 1) {
+               first.set_value(std::move(resume));
+             } else {
+               resume();
+             }
+           },
+       .on_end = [&](CallEnd it) { end.set_value(it); }});
+  const auto resume = first.get_future().get();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  BOOST_CHECK_EQUAL(pieces, 1);
+  resume();
+  BOOST_CHECK(end.get_future().get() == CallEnd::kComplete);
+}
+
+// Guards against a cancelled call that goes on at the server.
+BOOST_AUTO_TEST_CASE(CancelClosesTheConnection) {
+  std::promise<void> gone;
+  std::promise<void> arrived;
+  HttpFixture fixture([&](const Exchange& exchange) {
+    exchange->OnClientGone([&] { gone.set_value(); });
+    arrived.set_value();
+  });
+  std::promise<CallEnd> end;
+  auto call = fixture.Client().Start(
+      fixture.Address(), {.method = "GET", .target = "/"},
+      std::chrono::seconds(10),
+      {.on_end = [&](CallEnd it) { end.set_value(it); }});
+  arrived.get_future().get();
+  call->Cancel();
+  BOOST_CHECK(end.get_future().get() == CallEnd::kCancelled);
+  BOOST_CHECK(gone.get_future().wait_for(std::chrono::seconds(5)) ==
+              std::future_status::ready);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shallotbeam::transport
--- /dev/null
+++ b/Source/UnitTests/Core/Transport/MailboxTest.cpp
@@ -0,0 +1,91 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <vector>
+
+#include "Transport/Mailbox.h"
+
+namespace shallotbeam::transport {
+
+namespace {
+
+// Loopback ports of these tests; 28400 and up are free of other tests.
+constexpr std::uint16_t kFirstPort = 28'400;
+
+class Inbox {
+ public:
+  Mailbox::Receiver Receiver() {
+    return [this](std::string bytes) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      messages_.push_back(std::move(bytes));
+      changed_.notify_all();
+    };
+  }
+
+  std::vector<std::string> Await(std::size_t count) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait_for(lock, std::chrono::seconds(5),
+                      [&] { return messages_.size() >= count; });
+    return messages_;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::string> messages_;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(MailboxTest)
+
+// Guards against messages that are lost or change order between live peers.
+BOOST_AUTO_TEST_CASE(MessagesArriveInOrder) {
+  Inbox inbox;
+  const common::Endpoint address{.address = "127.0.0.1", .port = kFirstPort};
+  const auto receiver = Mailbox::Open(address, inbox.Receiver());
+  BOOST_REQUIRE(receiver.ok());
+  const auto sender =
+      Mailbox::Open({.address = "127.0.0.1", .port = kFirstPort + 1},
+                    [](const std::string&) {});
+  BOOST_REQUIRE(sender.ok());
+  std::vector<std::string> sent;
+  for (int i = 0; i < 20; ++i) {
+    sent.push_back(std::to_string(i));
+    (*sender)->Send(address, sent.back());
+  }
+  const auto received = inbox.Await(sent.size());
+  BOOST_CHECK_EQUAL_COLLECTIONS(received.begin(), received.end(), sent.begin(),
+                                sent.end());
+  BOOST_CHECK_EQUAL((*sender)->Count().messages_sent, sent.size());
+}
+
+// Guards against a peer that is gone blocking the sender or its memory.
+BOOST_AUTO_TEST_CASE(MessagesToAnAbsentPeerAreDropped) {
+  const auto sender =
+      Mailbox::Open({.address = "127.0.0.1", .port = kFirstPort + 2},
+                    [](const std::string&) {});
+  BOOST_REQUIRE(sender.ok());
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < 1000; ++i) {
+    (*sender)->Send({.address = "127.0.0.1", .port = kFirstPort + 3},
+                    std::string(1000, 'x'));
+  }
+  const auto elapsed = std::chrono::steady_clock::now() - start;
+  BOOST_CHECK(elapsed < std::chrono::seconds(2));
+  BOOST_CHECK((*sender)->Count().messages_dropped > 800);
+}
+
+// Guards against two processes that believe they own one control address.
+BOOST_AUTO_TEST_CASE(AddressInUseIsReported) {
+  const common::Endpoint address{.address = "127.0.0.1",
+                                 .port = kFirstPort + 4};
+  const auto first = Mailbox::Open(address, [](const std::string&) {});
+  BOOST_REQUIRE(first.ok());
+  const auto second = Mailbox::Open(address, [](const std::string&) {});
+  BOOST_CHECK(absl::IsUnavailable(second.status()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shallotbeam::transport
