--- a/Source/Core/Wire/Codec.cpp
+++ b/Source/Core/Wire/Codec.cpp
@@ -115,6 +115,13 @@
 }
 
 constexpr std::uint32_t kEnvelopeFields = 5;
+constexpr std::size_t kMaxDepth = 16;
+
+// An element takes at least one byte. Without the limit, a message of five
+// bytes that announces a long array allocates gigabytes.
+msgpack::unpack_limit LimitFor(std::size_t bytes) {
+  return {bytes, bytes, bytes, bytes, bytes, kMaxDepth};
+}
 
 }  // namespace
 
@@ -133,8 +140,8 @@
 absl::StatusOr<protocol::Envelope> Decode(std::string_view bytes) {
   // The library reports malformed input by exceptions.
   try {
-    const msgpack::object_handle handle =
-        msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object_handle handle = msgpack::unpack(
+        bytes.data(), bytes.size(), nullptr, nullptr, LimitFor(bytes.size()));
     const msgpack::object_array& array = ArrayOf(handle.get());
     if (array.size != kEnvelopeFields) throw msgpack::type_error();
     if (array.ptr[0].as<int>() != kFormat) {
--- a/Source/UnitTests/Core/Wire/CodecTest.cpp
+++ b/Source/UnitTests/Core/Wire/CodecTest.cpp
@@ -46,6 +46,13 @@
   });
 }
 
+// Guards against a short message that makes the receiver allocate gigabytes.
+BOOST_AUTO_TEST_CASE(AnnouncedLengthBeyondTheMessageIsRefused) {
+  const std::string bytes = "\xdd\x0b\x20\xc3\x7a";
+  const auto decoded = Decode(bytes);
+  BOOST_CHECK(absl::IsInvalidArgument(decoded.status()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::wire
