--- a/Source/Core/Admission/Upstreams.cpp
+++ b/Source/Core/Admission/Upstreams.cpp
@@ -66,7 +66,7 @@
                  const UpstreamEnded& event, int running) {
   AgentState& state = context.state;
   state.error_backoff = state.options.first_error_backoff;
-  suspects::NoteCompleted(state.suspects, attempt.fingerprint);
+  suspects::NoteCompleted(state.suspects, attempt.fingerprint, context.now);
   NoteSuccess(state.limit, running, context.now - attempt.started,
               event.generated_tokens, context.now);
   if (attempt.key.empty()) return;
--- a/Source/Core/Routing/Actions.h
+++ b/Source/Core/Routing/Actions.h
@@ -10,6 +10,7 @@
 #include "Common/Types.h"
 #include "Common/Verdict.h"
 #include "Protocol/Messages.h"
+#include "Routing/AgentTable.h"
 
 // What a router decides to do. Carried out in order.
 namespace shallotbeam::routing {
@@ -78,8 +79,8 @@
   common::KindName kind;
   std::string_view decision;  // for example "dispatch"
   common::ProcessName agent;
-  std::string_view cause;       // for example "direct"
-  std::size_t passed_over = 0;  // agents of the pool that were not eligible
+  std::string_view cause;  // for example "direct"
+  PassedOver passed_over;  // agents of the pool
 };
 
 // Everything accepted has been answered; the process may exit.
--- a/Source/Core/Routing/AgentTable.cpp
+++ b/Source/Core/Routing/AgentTable.cpp
@@ -1,29 +1,111 @@
 #include "Routing/AgentTable.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shallotbeam::routing {
 
 namespace {
 
-// Keeps `free_agents` in step with a change of one agent.
+// The count that an agent without an eligible free slot belongs to; nullptr if
+// it has one.
+std::size_t* CountOf(PassedOver& counts, const Agent& agent) {
+  if (agent.silent || !agent.alive) return &counts.silent;
+  if (agent.leaving || agent.state == protocol::AgentState::kDraining) {
+    return &counts.leaving;
+  }
+  if (agent.state != protocol::AgentState::kServing) {
+    return &counts.not_serving;
+  }
+  return agent.free_slots > 0 ? nullptr : &counts.busy;
+}
+
+void AddToPool(AgentTable& table, const common::ProcessName& name,
+               const Agent& agent) {
+  PoolAgents& pool = table.pools[agent.pool];
+  ++pool.count;
+  if (std::size_t* count = CountOf(pool.passed_over, agent)) {
+    ++*count;
+    return;
+  }
+  pool.free.emplace(agent.free_slots, name);
+  if (agent.data_centre != table.data_centre) return;
+  pool.free_here.emplace(agent.free_slots, name);
+}
+
+void RemoveFromPool(AgentTable& table, const common::ProcessName& name,
+                    const Agent& agent) {
+  const auto it = table.pools.find(agent.pool);
+  if (it == table.pools.end()) return;
+  PoolAgents& pool = it->second;
+  if (std::size_t* count = CountOf(pool.passed_over, agent)) --*count;
+  pool.free.erase({agent.free_slots, name});
+  pool.free_here.erase({agent.free_slots, name});
+  --pool.count;
+}
+
+// Keeps the pool in step with a change of one agent.
 template <typename Change>
 void Update(AgentTable& table, const common::ProcessName& name, Agent& agent,
             Change&& change) {
-  table.free_agents[agent.pool].erase({agent.free_slots, name});
+  RemoveFromPool(table, name, agent);
   change(agent);
-  const bool listed = agent.free_slots > 0 && agent.alive && !agent.leaving &&
-                      agent.state == protocol::AgentState::kServing;
-  if (listed) table.free_agents[agent.pool].emplace(agent.free_slots, name);
+  AddToPool(table, name, agent);
 }
 
 std::vector<common::RequestId> TakeInFlight(Agent& agent) {
   std::vector<common::RequestId> ids(agent.in_flight.begin(),
                                      agent.in_flight.end());
   agent.in_flight.clear();
+  agent.suspects_in_flight = 0;
   return ids;
 }
 
+// A process that was replaced may still be heard of: its last messages arrive
+// late, or it was only paused.
+bool IsReplaced(const AgentTable& table, const Agent& agent,
+                common::Incarnation incarnation, common::TimePoint now) {
+  const bool replaced = std::find(agent.replaced.begin(), agent.replaced.end(),
+                                  incarnation) != agent.replaced.end();
+  return replaced && now - agent.last_heard < table.options.dead_after;
+}
+
+void Replace(Agent& agent, common::Incarnation incarnation) {
+  constexpr std::size_t kRemembered = 4;
+  std::erase(agent.replaced, incarnation);
+  if (agent.incarnation != common::Incarnation::kNone) {
+    agent.replaced.push_back(agent.incarnation);
+  }
+  if (agent.replaced.size() > kRemembered) {
+    agent.replaced.erase(agent.replaced.begin());
+  }
+  agent.incarnation = incarnation;
+}
+
+const common::ProcessName* ChooseFrom(AgentTable& table,
+                                      const common::PoolName& pool,
+                                      PoolAgents::FreeList PoolAgents::*list,
+                                      const Isolation& isolation,
+                                      common::TimePoint now) {
+  const auto members = table.pools.find(pool);
+  if (members == table.pools.end()) return nullptr;
+  const PoolAgents::FreeList& free = members->second.*list;
+  for (auto it = free.begin(); it != free.end();) {
+    const auto agent = table.agents.find((it++)->second);
+    if (!IsEligible(table, agent->second, now)) {
+      // Leaves the list until its next heartbeat.
+      Update(table, agent->first, agent->second,
+             [](Agent& silent) { silent.silent = true; });
+      continue;
+    }
+    const bool refused =
+        isolation.suspect && (agent->second.suspects_in_flight > 0 ||
+                              agent->first == isolation.avoid);
+    if (!refused) return &agent->first;
+  }
+  return nullptr;
+}
+
 }  // namespace
 
 HeartbeatEffect NoteHeartbeat(AgentTable& table,
@@ -32,19 +114,30 @@
                               const protocol::Heartbeat& heartbeat,
                               common::TimePoint now) {
   HeartbeatEffect effect;
-  Agent& agent = table.agents[name];
+  const auto [entry, added] = table.agents.try_emplace(name);
+  Agent& agent = entry->second;
+  if (!added && IsReplaced(table, agent, incarnation, now)) {
+    effect.ignored = true;
+    return effect;
+  }
+  if (added) {
+    agent.leaving = table.leaving.contains(name);
+    AddToPool(table, name, agent);
+  }
+  effect.joined = agent.incarnation != incarnation || !agent.alive;
   if (agent.incarnation != incarnation) {
-    effect.joined = true;
     effect.orphaned = TakeInFlight(agent);
+    Replace(agent, incarnation);
   }
   Update(table, name, agent, [&](Agent& it) {
-    it.incarnation = incarnation;
+    it.data_centre = heartbeat.data_centre;
     it.data = heartbeat.data;
     it.pool = heartbeat.pool;
     it.upstream = heartbeat.upstream;
     it.state = heartbeat.state;
     it.free_slots = heartbeat.free_slots;
     it.last_heard = now;
+    it.silent = false;
     it.alive = true;
   });
   return effect;
@@ -57,19 +150,20 @@
          now - agent.last_heard < table.options.suspect_after;
 }
 
+bool IsCurrent(const AgentTable& table, const common::ProcessName& name,
+               common::Incarnation incarnation) {
+  const auto it = table.agents.find(name);
+  return it != table.agents.end() && it->second.incarnation == incarnation;
+}
+
 const common::ProcessName* ChooseFree(AgentTable& table,
                                       const common::PoolName& pool,
+                                      const Isolation& isolation,
                                       common::TimePoint now) {
-  const auto listed = table.free_agents.find(pool);
-  if (listed == table.free_agents.end()) return nullptr;
-  while (!listed->second.empty()) {
-    const common::ProcessName& name = listed->second.begin()->second;
-    const auto it = table.agents.find(name);
-    if (IsEligible(table, it->second, now)) return &it->first;
-    // Silent agents leave the list until their next heartbeat.
-    listed->second.erase(listed->second.begin());
-  }
-  return nullptr;
+  const common::ProcessName* here =
+      ChooseFrom(table, pool, &PoolAgents::free_here, isolation, now);
+  if (here != nullptr) return here;
+  return ChooseFrom(table, pool, &PoolAgents::free, isolation, now);
 }
 
 const common::ProcessName* ChooseForTicket(const AgentTable& table,
@@ -87,18 +181,20 @@
 }
 
 void NoteDispatched(AgentTable& table, const common::ProcessName& name,
-                    common::RequestId id) {
+                    common::RequestId id, bool suspect) {
   const auto it = table.agents.find(name);
   if (it == table.agents.end()) return;
   it->second.in_flight.insert(id);
+  if (suspect) ++it->second.suspects_in_flight;
   Update(table, name, it->second, [](Agent& agent) { --agent.free_slots; });
 }
 
 void NoteEnded(AgentTable& table, const common::ProcessName& name,
-               common::RequestId id) {
+               common::RequestId id, bool suspect) {
   const auto it = table.agents.find(name);
   if (it == table.agents.end()) return;
   if (it->second.in_flight.erase(id) == 0) return;
+  if (suspect) --it->second.suspects_in_flight;
   Update(table, name, it->second, [](Agent& agent) { ++agent.free_slots; });
 }
 
@@ -108,24 +204,54 @@
   Update(table, name, it->second, [](Agent& agent) { agent.free_slots = 0; });
 }
 
+void NoteState(AgentTable& table, const common::ProcessName& name,
+               protocol::AgentState state) {
+  const auto it = table.agents.find(name);
+  if (it == table.agents.end()) return;
+  Update(table, name, it->second, [&](Agent& agent) { agent.state = state; });
+}
+
 void SetLeaving(AgentTable& table, const common::ProcessName& name,
                 bool leaving) {
+  if (leaving) {
+    table.leaving.insert(name);
+  } else {
+    table.leaving.erase(name);
+  }
   const auto it = table.agents.find(name);
   if (it == table.agents.end()) return;
   Update(table, name, it->second,
          [&](Agent& agent) { agent.leaving = leaving; });
 }
 
+PassedOver PassedOverIn(const AgentTable& table, const common::PoolName& pool) {
+  const auto it = table.pools.find(pool);
+  return it == table.pools.end() ? PassedOver() : it->second.passed_over;
+}
+
 std::vector<common::RequestId> TakeDead(AgentTable& table,
                                         common::TimePoint now) {
   std::vector<common::RequestId> orphaned;
-  for (auto& [name, agent] : table.agents) {
-    const bool silent = now - agent.last_heard >= table.options.dead_after;
-    if (!agent.alive || !silent) continue;
-    Update(table, name, agent, [](Agent& it) { it.alive = false; });
-    const std::vector<common::RequestId> ids = TakeInFlight(agent);
-    orphaned.insert(orphaned.end(), ids.begin(), ids.end());
+  for (auto it = table.agents.begin(); it != table.agents.end();) {
+    const auto& [name, agent] = *it;
+    const common::Duration silence = now - agent.last_heard;
+    if (silence >= table.options.suspect_after && !agent.silent) {
+      Update(table, name, it->second, [](Agent& a) { a.silent = true; });
+    }
+    if (silence >= table.options.dead_after && agent.alive) {
+      Update(table, name, it->second, [](Agent& a) { a.alive = false; });
+      const std::vector<common::RequestId> ids = TakeInFlight(it->second);
+      orphaned.insert(orphaned.end(), ids.begin(), ids.end());
+    }
+    if (silence >= table.options.forget_after) {
+      RemoveFromPool(table, name, agent);
+      it = table.agents.erase(it);
+    } else {
+      ++it;
+    }
   }
+  std::erase_if(table.pools,
+                [](const auto& it) { return it.second.count == 0; });
   return orphaned;
 }
 
--- a/Source/Core/Routing/AgentTable.h
+++ b/Source/Core/Routing/AgentTable.h
@@ -19,10 +19,25 @@
   common::Duration suspect_after = std::chrono::seconds(1);
   // Silence after which its requests are resolved as lost.
   common::Duration dead_after = std::chrono::seconds(3);
+  // Silence after which it is forgotten.
+  common::Duration forget_after = std::chrono::minutes(5);
+};
+
+// Why the agents of a pool can't get new work without a grant.
+struct PassedOver {
+  std::size_t busy = 0;         // no free slot reported
+  std::size_t silent = 0;       // not heard of for `suspect_after`
+  std::size_t leaving = 0;      // by the host list, or draining
+  std::size_t not_serving = 0;  // upstream down or no configuration
+
+  friend bool operator==(const PassedOver&, const PassedOver&) = default;
 };
 
 struct Agent {
   common::Incarnation incarnation = common::Incarnation::kNone;
+  // Earlier incarnations; their late messages are ignored.
+  std::vector<common::Incarnation> replaced;
+  common::DataCentreName data_centre;
   common::Endpoint data;
   common::PoolName pool;
   common::UpstreamName upstream;
@@ -30,23 +45,45 @@
   int free_slots = 0;  // last report, less what was dispatched since
   common::TimePoint last_heard;
   bool leaving = false;  // by the platform's host list
+  bool silent = false;   // by the last check or choice
   bool alive = true;     // heard of within `dead_after`
   std::set<common::RequestId> in_flight;
+  int suspects_in_flight = 0;  // of this router
+};
+
+// The agents of one pool.
+struct PoolAgents {
+  using FreeList =
+      std::set<std::pair<int, common::ProcessName>, std::greater<>>;
+
+  // Agents that may get work and report free slots, most free first. Keeps a
+  // choice independent of the number of agents.
+  FreeList free;
+  FreeList free_here;  // those of them in the router's own data centre
+  PassedOver passed_over;
+  std::size_t count = 0;
 };
 
 struct AgentTable {
   MembershipOptions options;
+  common::DataCentreName data_centre;  // of this router
   std::map<common::ProcessName, Agent> agents;
-  // Agents that may get work and report free slots, by pool, most free first.
-  // Keeps a choice independent of the number of agents.
-  std::map<common::PoolName,
-           std::set<std::pair<int, common::ProcessName>, std::greater<>>>
-      free_agents;
+  std::map<common::PoolName, PoolAgents> pools;
+  // Processes that the last host list names as leaving; some of them may not
+  // have sent a heartbeat yet.
+  std::set<common::ProcessName> leaving;
+};
+
+// A suspect runs with no other suspect at its agent.
+struct Isolation {
+  bool suspect = false;
+  common::ProcessName avoid;  // the agent that refused it last
 };
 
 // What changed by a heartbeat.
 struct HeartbeatEffect {
-  bool joined = false;
+  bool ignored = false;  // from a replaced incarnation
+  bool joined = false;   // new, restarted, or back after a silence
   // Requests that were in flight at the previous incarnation.
   std::vector<common::RequestId> orphaned;
 };
@@ -61,9 +98,16 @@
 bool IsEligible(const AgentTable& table, const Agent& agent,
                 common::TimePoint now);
 
-// The eligible agent with the most free slots, or nullptr.
+// Whether `incarnation` is the current one of the agent.
+bool IsCurrent(const AgentTable& table, const common::ProcessName& name,
+               common::Incarnation incarnation);
+
+// The eligible agent with the most free slots, or nullptr. Agents in the
+// router's own data centre are preferred. A suspect goes only to an agent to
+// which this router has not sent another one.
 const common::ProcessName* ChooseFree(AgentTable& table,
                                       const common::PoolName& pool,
+                                      const Isolation& isolation,
                                       common::TimePoint now);
 
 // An eligible agent to bind a ticket to; random, as the ticket may be used
@@ -75,17 +119,24 @@
 
 // Records an attempt handed to `name`, and its end.
 void NoteDispatched(AgentTable& table, const common::ProcessName& name,
-                    common::RequestId id);
+                    common::RequestId id, bool suspect);
 void NoteEnded(AgentTable& table, const common::ProcessName& name,
-               common::RequestId id);
+               common::RequestId id, bool suspect);
 
 // The agent answered that no slot is free.
 void NoteBusy(AgentTable& table, const common::ProcessName& name);
 
+// The agent answered that it doesn't serve; holds until its next heartbeat.
+void NoteState(AgentTable& table, const common::ProcessName& name,
+               protocol::AgentState state);
+
 void SetLeaving(AgentTable& table, const common::ProcessName& name,
                 bool leaving);
 
-// Marks agents silent for too long as dead; returns their requests.
+PassedOver PassedOverIn(const AgentTable& table, const common::PoolName& pool);
+
+// Marks silent agents, and those silent for too long as dead; returns the
+// requests of the dead. Forgets agents that never return.
 std::vector<common::RequestId> TakeDead(AgentTable& table,
                                         common::TimePoint now);
 
--- a/Source/Core/Routing/Arrivals.cpp
+++ b/Source/Core/Routing/Arrivals.cpp
@@ -113,8 +113,9 @@
 
   const auto [it, inserted] = state.requests.emplace(
       event.id, MakeRequest(context, *caller->kind, event));
+  if (!inserted) return;
   Request& request = it->second;
-  state.deadlines.emplace(request.deadline, request.id);
+  Arm(context, request, request.deadline);
   if (reason == Reason::kDraining) {
     return GiveUp(
         context, request,
@@ -123,8 +124,11 @@
          .retry_after = RetryAfter(context, std::chrono::seconds(1))});
   }
   if (suspects::IsBanned(state.suspects, request.fingerprint, context.now)) {
+    // A banned request has run and crashed upstreams under some key.
     return GiveUp(context, request,
-                  {.verdict = Verdict::kNotRun, .reason = Reason::kPoisonous});
+                  {.verdict = request.idempotent ? Verdict::kNotRun
+                                                 : Verdict::kMayHaveRun,
+                   .reason = Reason::kPoisonous});
   }
   if (request.idempotent) return Place(context, request);
   if (request.owner) return DispatchToOwner(context, request);
@@ -138,6 +142,9 @@
   const auto caller = CheckCaller(state, event.workspace, event.kind,
                                   event.credential_sha256, &reason);
   if (!caller) return RefuseUnknown(context, event.id, reason);
+  if (state.draining) {
+    return RefuseUnknown(context, event.id, Reason::kDraining);
+  }
   const common::ProcessName* agent = ChooseForTicket(
       state.agents, caller->kind->pool, context.now, state.random);
   if (agent == nullptr) {
@@ -160,6 +167,9 @@
   if (it == context.state.requests.end()) return;
   Request& request = it->second;
   if (request.phase != Phase::kReadingBinding) return;
+  if (context.now >= request.deadline) {
+    return Abandon(context, request, Reason::kDeadlineExceeded);
+  }
   if (event.outcome == StoreOutcome::kUnavailable) {
     return GiveUp(
         context, request,
--- a/Source/Core/Routing/Control.cpp
+++ b/Source/Core/Routing/Control.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "Routing/Internal.h"
@@ -13,26 +14,68 @@
   }
 }
 
+// Agents name only routers that they hear of directly, so a router that is gone
+// is not kept known by rumour.
+void NoteRouters(Context& context, const common::ProcessName& sender,
+                 const protocol::Heartbeat& heartbeat) {
+  RouterState& state = context.state;
+  const auto note = [&](const common::ProcessName& name,
+                        const common::Endpoint& control) {
+    if (name == state.options.name || control.port == 0) return;
+    state.known_routers[name] = {.control = control, .last_named = context.now};
+  };
+  if (heartbeat.role == protocol::Role::kRouter) {
+    return note(sender, heartbeat.control);
+  }
+  for (const protocol::PeerAddress& it : heartbeat.known_routers) {
+    note(it.process, it.control);
+  }
+}
+
+std::vector<protocol::PeerAddress> KnownRouters(Context& context) {
+  RouterState& state = context.state;
+  std::erase_if(state.known_routers, [&](const auto& it) {
+    return context.now - it.second.last_named >= state.options.router_memory;
+  });
+  std::vector<protocol::PeerAddress> known;
+  known.reserve(state.known_routers.size());
+  for (const auto& [name, router] : state.known_routers) {
+    known.push_back({.process = name, .control = router.control});
+  }
+  return known;
+}
+
 struct MessageHandler {
   Context& context;
   const protocol::Envelope& envelope;
 
   void operator()(const protocol::Heartbeat& heartbeat) {
+    NoteRouters(context, envelope.sender, heartbeat);
     if (heartbeat.role != protocol::Role::kAgent) return;
     const HeartbeatEffect effect =
         NoteHeartbeat(context.state.agents, envelope.sender,
                       envelope.incarnation, heartbeat, context.now);
+    if (effect.ignored) return;
+    const Agent& agent = context.state.agents.agents.at(envelope.sender);
+    if (IsEligible(context.state.agents, agent, context.now)) {
+      context.state.pools[agent.pool].served = context.now;
+    }
     for (const common::RequestId id : effect.orphaned) OnOrphaned(context, id);
     if (effect.joined) Welcome();
   }
   void operator()(const protocol::Grant& grant) {
+    // Slots of an earlier incarnation are gone.
+    if (!IsCurrent(context.state.agents, envelope.sender,
+                   envelope.incarnation)) {
+      return;
+    }
     OnGrant(context, envelope.sender, grant);
   }
   void operator()(const protocol::Shares& shares) {
     fairness::Merge(context.state.ledger, shares);
   }
   void operator()(const protocol::RevokeReply& reply) {
-    OnRevokeReply(context, reply);
+    OnRevokeReply(context, envelope, reply);
   }
   void operator()(const protocol::Suspects& rows) {
     if (!suspects::Merge(context.state.suspects, rows, context.now)) return;
@@ -68,7 +111,7 @@
     pool.demand_sent = context.now;
     const protocol::Demand demand{
         .pool = name,
-        .sequence = ++pool.demand_sequence,
+        .sequence = ++context.state.demand_sequence,
         .workspaces = SummariseDemand(pool.queue, context.now)};
     for (const auto& [agent_name, agent] : context.state.agents.agents) {
       if (agent.pool != name || !agent.alive) continue;
@@ -87,7 +130,8 @@
                protocol::Heartbeat{.role = protocol::Role::kRouter,
                                    .data_centre = state.options.data_centre,
                                    .control = state.options.control,
-                                   .config_version = state.config.version});
+                                   .config_version = state.config.version,
+                                   .known_routers = KnownRouters(context)});
 }
 
 void SendShares(Context& context) {
@@ -99,12 +143,37 @@
   SendToAgents(context, changes);
 }
 
+std::vector<common::RequestId> RequestIds(const RouterState& state) {
+  std::vector<common::RequestId> ids;
+  ids.reserve(state.requests.size());
+  for (const auto& [id, request] : state.requests) ids.push_back(id);
+  // The hash order differs between libraries; decisions must not.
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
+
 void CheckDrain(Context& context) {
   RouterState& state = context.state;
   if (!state.draining || state.drain_reported) return;
-  const bool late =
-      context.now - state.drain_started >= state.options.drain_deadline;
+  const common::Duration elapsed = context.now - state.drain_started;
+  const RouterOptions& options = state.options;
+  // Leaves time to confirm that keyed requests did not run.
+  const bool force =
+      elapsed >= options.drain_deadline - options.confirm_timeout;
+  const bool late = elapsed >= options.drain_deadline;
+  if (force && !state.drain_forced) {
+    state.drain_forced = true;
+    for (const common::RequestId id : RequestIds(state)) {
+      Abandon(context, state.requests.at(id), common::Reason::kDraining);
+    }
+  }
   if (!state.requests.empty() && !late) return;
+  for (const common::RequestId id : RequestIds(state)) {
+    Request& request = state.requests.at(id);
+    Refuse(context, request,
+           {.verdict = common::Verdict::kMayHaveRun,
+            .reason = common::Reason::kDraining});
+  }
   state.drain_reported = true;
   context.Do(DrainCompleted{});
 }
@@ -118,7 +187,20 @@
 void OnConfig(Context& context, const config::FleetConfig& config) {
   // Only a higher version is taken over: a configuration never reverts.
   if (config.version <= context.state.config.version) return;
-  context.state.config = config;
+  RouterState& state = context.state;
+  state.config = config;
+  for (auto& [name, pool] : state.pools) {
+    ForgetIdle(pool.queue, [&](const common::WorkspaceName& workspace) {
+      return config.workspaces.contains(workspace);
+    });
+  }
+  std::erase_if(state.pools, [&](const auto& it) {
+    const bool idle = it.second.queue.waiting == 0 && !it.second.demand_changed;
+    return idle && !config.pools.contains(it.first);
+  });
+  std::erase_if(state.retry_budgets, [&](const auto& it) {
+    return !config.pools.contains(it.first);
+  });
 }
 
 void OnTick(Context& context) {
@@ -126,7 +208,8 @@
        TakeDead(context.state.agents, context.now)) {
     OnOrphaned(context, id);
   }
-  ExpireRequests(context);
+  FireTimers(context);
+  RefuseStranded(context);
   suspects::Expire(context.state.suspects, context.now);
   SendHeartbeat(context);
   SendShares(context);
--- a/Source/Core/Routing/Dispatching.cpp
+++ b/Source/Core/Routing/Dispatching.cpp
@@ -27,21 +27,22 @@
   ++request.attempt;
   request.agent = name;
   request.phase = Phase::kDispatched;
-  NoteDispatched(state.agents, name, request.id);
+  request.suspect =
+      suspects::IsSuspect(state.suspects, request.fingerprint, context.now);
+  NoteDispatched(state.agents, name, request.id, request.suspect);
   NoteDispatch(state.retry_budgets[request.pool], state.options.retries);
   Log(context, request, "dispatch", cause);
-  context.Do(DispatchRequest{
-      .id = request.id,
-      .attempt = request.attempt,
-      .agent = name,
-      .endpoint = agent.data,
-      .grant = request.grant,
-      .bound_to = request.owner ? request.owner->incarnation
-                                : common::Incarnation::kNone,
-      .binding_revision = request.binding_revision,
-      .suspect =
-          suspects::IsSuspect(state.suspects, request.fingerprint, context.now),
-      .time_left = request.deadline - context.now});
+  context.Do(DispatchRequest{.id = request.id,
+                             .attempt = request.attempt,
+                             .agent = name,
+                             .endpoint = agent.data,
+                             .grant = request.grant,
+                             .bound_to = request.owner
+                                             ? request.owner->incarnation
+                                             : common::Incarnation::kNone,
+                             .binding_revision = request.binding_revision,
+                             .suspect = request.suspect,
+                             .time_left = request.deadline - context.now});
 }
 
 // Hands the request to an agent with a slot for it. A caller's own key is bound
@@ -57,22 +58,18 @@
   request.agent = name;
   request.phase = Phase::kWritingBinding;
   const Binding binding{
-      .owner = {.agent = name,
-                .incarnation =
-                    context.state.agents.agents.at(name).incarnation},
-      .written_by = request.id};
+      .owner = {
+          .agent = name,
+          .incarnation = context.state.agents.agents.at(name).incarnation}};
   context.Do(WriteBinding{.id = request.id,
                           .store_key = request.store_key,
                           .expected_revision = request.binding_revision,
-                          .value = FormatBinding(binding)});
+                          .value = NextBinding(request, binding)});
 }
 
-void ReturnGrant(Context& context, Request& request) {
-  if (request.grant == common::GrantId::kNone) return;
-  context.Do(
-      SendMessage{.to = request.agent,
-                  .body = protocol::GrantReturn{.grant = request.grant}});
-  request.grant = common::GrantId::kNone;
+common::Duration WaitOf(Context& context, const Request& request) {
+  return EstimateWait(PoolOf(context, request).queue, request.workspace,
+                      request.kind, request.urgency, context.now);
 }
 
 // Refusal of a request for which the queue has no room or no time.
@@ -85,40 +82,141 @@
       size.bytes + request.bytes > kind->second.max_queued_bytes) {
     return Reason::kQueueFull;
   }
-  if (context.now + EstimateWait(queue, request.workspace) > request.deadline) {
+  if (context.now + WaitOf(context, request) > request.deadline) {
     return Reason::kDeadlineTooShort;
   }
   return std::nullopt;
 }
 
+// An agent serves the pool, or did so a short while ago.
+bool HasUpstream(const Context& context, const PoolState& pool) {
+  const RouterState& state = context.state;
+  const common::TimePoint served = std::max(pool.served, state.started);
+  return context.now - served < state.options.outage_bridge;
+}
+
+void RefuseNoUpstream(Context& context, Request& request) {
+  constexpr common::Duration kRetryAfter = std::chrono::seconds(2);
+  GiveUp(context, request,
+         {.verdict = Verdict::kNotRun,
+          .reason = Reason::kNoUpstream,
+          .retry_after = RetryAfter(context, kRetryAfter)});
+}
+
+const common::ProcessName* FindFree(Context& context, const Request& request) {
+  RouterState& state = context.state;
+  if (PoolOf(context, request).queue.waiting > 0) return nullptr;
+  const Isolation isolation{
+      .suspect =
+          suspects::IsSuspect(state.suspects, request.fingerprint, context.now),
+      .avoid = request.avoid};
+  return ChooseFree(state.agents, request.pool, isolation, context.now);
+}
+
+// Ends or delays a queued request that may not go to `agent` now.
+bool HoldBack(Context& context, Request& request, const Agent& agent) {
+  RouterState& state = context.state;
+  if (context.now >= request.deadline) {
+    Abandon(context, request, Reason::kDeadlineExceeded);
+    return true;
+  }
+  const common::Fingerprint fingerprint = request.fingerprint;
+  if (suspects::IsBanned(state.suspects, fingerprint, context.now)) {
+    GiveUp(context, request,
+           {.verdict =
+                request.idempotent ? Verdict::kNotRun : Verdict::kMayHaveRun,
+            .reason = Reason::kPoisonous});
+    return true;
+  }
+  const bool isolated =
+      agent.suspects_in_flight > 0 &&
+      suspects::IsSuspect(state.suspects, fingerprint, context.now);
+  if (isolated) Delay(context, request);
+  return isolated;
+}
+
 }  // namespace
 
+void ReturnGrant(Context& context, Request& request) {
+  if (request.grant == common::GrantId::kNone) return;
+  context.Do(
+      SendMessage{.to = request.agent,
+                  .body = protocol::GrantReturn{.grant = request.grant}});
+  request.grant = common::GrantId::kNone;
+}
+
+bool IsReachable(const Context& context, const Owner& owner) {
+  const auto it = context.state.agents.agents.find(owner.agent);
+  return it != context.state.agents.agents.end() && it->second.alive &&
+         it->second.incarnation == owner.incarnation;
+}
+
+std::string NextBinding(Request& request, Binding binding) {
+  binding.written_by = request.id;
+  binding.write = ++request.writes;
+  request.written = FormatBinding(binding);
+  return request.written;
+}
+
 void Place(Context& context, Request& request) {
-  PoolState& pool = PoolOf(context, request);
-  const common::ProcessName* free =
-      pool.queue.waiting > 0
-          ? nullptr
-          : ChooseFree(context.state.agents, request.pool, context.now);
-  if (free != nullptr) {
+  if (const common::ProcessName* free = FindFree(context, request)) {
     return DispatchTo(context, request, *free, common::GrantId::kNone);
   }
+  if (!HasUpstream(context, PoolOf(context, request))) {
+    return RefuseNoUpstream(context, request);
+  }
   if (const auto reason = CheckQueue(context, request)) {
-    const common::Duration wait = EstimateWait(pool.queue, request.workspace);
-    return GiveUp(context, request,
-                  {.verdict = Verdict::kNotRun,
-                   .reason = *reason,
-                   .retry_after = RetryAfter(context, wait)});
+    return GiveUp(
+        context, request,
+        {.verdict = Verdict::kNotRun,
+         .reason = *reason,
+         .retry_after = RetryAfter(context, WaitOf(context, request))});
   }
   Enqueue(context, request);
 }
 
+void Delay(Context& context, Request& request) {
+  const RouterOptions& options = context.state.options;
+  request.last_pause = std::clamp(request.last_pause * 2, options.first_delay,
+                                  options.last_delay);
+  request.phase = Phase::kDelayed;
+  request.grant = common::GrantId::kNone;
+  Arm(context, request,
+      std::min(request.deadline, context.now + request.last_pause));
+}
+
+void Resume(Context& context, Request& request) {
+  Arm(context, request, request.deadline);
+  if (request.owner) return DispatchToOwner(context, request);
+  const common::ProcessName* free = FindFree(context, request);
+  if (free == nullptr) return Enqueue(context, request);
+  DispatchTo(context, request, *free, common::GrantId::kNone);
+}
+
+void RefuseStranded(Context& context) {
+  std::vector<common::RequestId> stranded;
+  for (const auto& [name, pool] : context.state.pools) {
+    if (pool.queue.waiting == 0 || HasUpstream(context, pool)) continue;
+    for (const auto& [workspace, queue] : pool.queue.workspaces) {
+      for (const auto& [kind, requests] : queue.kinds) {
+        for (const QueuedRequest& it : requests.requests) {
+          stranded.push_back(it.id);
+        }
+      }
+    }
+  }
+  for (const common::RequestId id : stranded) {
+    RefuseNoUpstream(context, context.state.requests.at(id));
+  }
+}
+
 void Enqueue(Context& context, Request& request) {
   PoolState& pool = PoolOf(context, request);
   request.phase = Phase::kQueued;
   request.grant = common::GrantId::kNone;
   request.agent = common::ProcessName();
-  PushBack(pool.queue, request.workspace, request.kind, request.urgency,
-           ToQueued(request));
+  Push(pool.queue, request.workspace, request.kind, request.urgency,
+       ToQueued(request), context.now);
   pool.demand_changed = true;
 }
 
@@ -131,72 +229,73 @@
 }
 
 void DispatchToOwner(Context& context, Request& request) {
-  const auto it = context.state.agents.agents.find(request.owner->agent);
-  const bool reachable = it != context.state.agents.agents.end() &&
-                         it->second.alive &&
-                         it->second.incarnation == request.owner->incarnation;
-  if (!reachable) {
+  // Another router may have read the binding, even one that this request wrote
+  // a moment ago, and dispatched by it: only the owner could tell.
+  if (!IsReachable(context, *request.owner)) {
     return GiveUp(
         context, request,
         {.verdict = Verdict::kMayHaveRun, .reason = Reason::kBoundElsewhere});
   }
-  SendDispatch(context, request, it->first, "bound");
+  const common::ProcessName agent = request.owner->agent;
+  SendDispatch(context, request, agent, "bound");
 }
 
 void OnBindingWritten(Context& context, const BindingWritten& event) {
   const auto it = context.state.requests.find(event.id);
   if (it == context.state.requests.end()) return;
   Request& request = it->second;
-  const auto binding = ParseBinding(event.value);
-  if (request.phase == Phase::kConfirming) {
-    common::Refusal refusal = request.pending;
-    if (event.outcome != StoreOutcome::kOk) {
-      refusal.verdict = Verdict::kMayHaveRun;
-    }
-    return Refuse(context, request, refusal);
+  const bool of_other_write =
+      event.outcome == StoreOutcome::kOk && event.value != request.written;
+  if (of_other_write) return;
+  if (request.phase == Phase::kWritingTombstone) {
+    return OnTombstoneWritten(context, request, event);
   }
   if (request.phase != Phase::kWritingBinding) return;
-  if (event.outcome == StoreOutcome::kUnavailable) {
+  const auto binding = ParseBinding(event.value);
+  const bool known = event.outcome != StoreOutcome::kUnavailable && binding;
+  if (!known) {
     ReturnGrant(context, request);
-    return GiveUp(
+    return Refuse(
         context, request,
         {.verdict = Verdict::kMayHaveRun,
          .reason = Reason::kStoreUnavailable,
          .retry_after = RetryAfter(context, std::chrono::seconds(2))});
   }
   request.binding_revision = event.revision;
-  if (event.outcome == StoreOutcome::kOk) {
-    const common::ProcessName agent = request.agent;
-    request.owner = Owner{.agent = agent,
-                          .incarnation = binding ? binding->owner.incarnation
-                                                 : common::Incarnation::kNone};
-    return DispatchToOwner(context, request);
-  }
-  // Another attempt of the same key came first.
-  ReturnGrant(context, request);
-  if (!binding || binding->tombstone) {
-    return Refuse(context, request,
+  if (event.outcome == StoreOutcome::kConflict) ReturnGrant(context, request);
+  if (binding->tombstone) {
+    // Another attempt was refused as not run, which rules this one out too.
+    return GiveUp(context, request,
                   {.verdict = Verdict::kNotRun, .reason = Reason::kBarred});
   }
   request.owner = binding->owner;
+  if (context.now >= request.deadline) {
+    ReturnGrant(context, request);
+    return GiveUp(
+        context, request,
+        {.verdict = Verdict::kNotRun, .reason = Reason::kDeadlineExceeded});
+  }
   DispatchToOwner(context, request);
 }
 
 void OnGrant(Context& context, const common::ProcessName& agent,
              const protocol::Grant& grant) {
   RouterState& state = context.state;
-  PoolState& pool = state.pools[grant.pool];
+  const auto pool = state.pools.find(grant.pool);
   const auto known = state.agents.agents.find(agent);
-  const bool usable = known != state.agents.agents.end() &&
+  const bool usable = pool != state.pools.end() &&
+                      known != state.agents.agents.end() &&
                       IsEligible(state.agents, known->second, context.now);
-  const auto next =
-      usable ? Pop(pool.queue, grant.workspace, context.now) : std::nullopt;
-  pool.demand_changed = true;
-  if (!next) {
-    return context.Do(SendMessage{
-        .to = agent, .body = protocol::GrantReturn{.grant = grant.grant}});
+  while (usable) {
+    const auto next = Pop(pool->second.queue, grant.workspace, context.now);
+    pool->second.demand_changed = true;
+    if (!next) break;
+    Request& request = state.requests.at(next->id);
+    if (HoldBack(context, request, known->second)) continue;
+    return DispatchTo(context, request, agent, grant.grant);
   }
-  DispatchTo(context, state.requests.at(next->id), agent, grant.grant);
+  context.Do(SendMessage{.to = agent,
+                         .body = protocol::GrantReturn{.grant = grant.grant}});
 }
 
 }  // namespace shallotbeam::routing::internal
--- a/Source/Core/Routing/KeyBinding.h
+++ b/Source/Core/Routing/KeyBinding.h
@@ -40,6 +40,9 @@
   bool tombstone = false;  // refused as not run; may be bound over
   Owner owner;             // empty for a tombstone
   common::RequestId written_by;
+  // Counts the writes of one request: a value must be unique to its write, or
+  // an earlier one would be taken for it when an answer is lost.
+  std::uint32_t write = 0;
 };
 
 std::string FormatBinding(const Binding& binding);
--- a/Source/Core/Routing/Outcomes.cpp
+++ b/Source/Core/Routing/Outcomes.cpp
@@ -13,13 +13,25 @@
   return it == context.state.requests.end() ? nullptr : &it->second;
 }
 
-// Reasons for which an agent never began the request and another one may.
+// The agent never began the request and another one may.
 bool IsPassedOn(Reason reason) {
   return reason == Reason::kBusy || reason == Reason::kDraining ||
          reason == Reason::kNoConfiguration ||
          reason == Reason::kSuspectIsolated || reason == Reason::kBarred;
 }
 
+// The agent could not read the offer, so its key table was not asked.
+bool IsUnread(Reason reason) {
+  return reason == Reason::kNone || reason == Reason::kBadRequest ||
+         reason == Reason::kBodyTooLarge;
+}
+
+// Another attempt may end differently.
+bool IsWorthRetrying(Reason reason) {
+  return !IsUnread(reason) && reason != Reason::kPoisonous &&
+         reason != Reason::kDeadlineExceeded;
+}
+
 bool MayRetry(Context& context, Request& request) {
   const RetryOptions& options = context.state.options.retries;
   if (request.response_started || request.retries >= options.max_retries) {
@@ -32,115 +44,93 @@
   return true;
 }
 
-// The agent vouches that the key did not run and bars it at our revision.
-void PlaceAgain(Context& context, Request& request) {
+// A refusal is news of the agent's state before its next heartbeat.
+void NoteRefusal(Context& context, const Request& request, Reason reason) {
+  AgentTable& agents = context.state.agents;
+  switch (reason) {
+    case Reason::kBusy:
+      return NoteBusy(agents, request.agent);
+    case Reason::kDraining:
+      return NoteState(agents, request.agent, protocol::AgentState::kDraining);
+    case Reason::kNoConfiguration:
+      return NoteState(agents, request.agent,
+                       protocol::AgentState::kNoConfiguration);
+    default:
+      return;
+  }
+}
+
+// The agent vouches that the key did not run and bars it at our revision, so
+// that it may be bound anew over that revision.
+void PlaceAgain(Context& context, Request& request, Reason reason) {
+  request.owner.reset();
+  Log(context, request, "requeue", common::ToString(reason));
+  if (reason != Reason::kSuspectIsolated) return Enqueue(context, request);
+  // The agent has a free slot and would grant it again at once.
+  request.avoid = request.agent;
+  Delay(context, request);
+}
+
+void Truncate(Context& context, const Request& request,
+              const Refusal& refusal) {
+  context.Do(TruncateResponse{.id = request.id, .refusal = refusal});
+  Forget(context, request.id);
+}
+
+void OnNotRun(Context& context, Request& request, const Refusal& refusal) {
   const bool ticket = !request.idempotent && request.store_key.empty();
-  if (ticket) {
+  if (ticket && !IsUnread(refusal.reason)) {
+    // Barred for good: the caller needs a new ticket.
+    const Reason reason =
+        IsPassedOn(refusal.reason) ? Reason::kBarred : refusal.reason;
     return Refuse(context, request,
-                  {.verdict = Verdict::kNotRun, .reason = Reason::kBarred});
+                  {.verdict = Verdict::kNotRun, .reason = reason});
   }
-  request.owner.reset();
-  Log(context, request, "requeue", "not_begun");
-  Enqueue(context, request);
+  const bool again =
+      IsPassedOn(refusal.reason) ||
+      (IsWorthRetrying(refusal.reason) && MayRetry(context, request));
+  if (again) return PlaceAgain(context, request, refusal.reason);
+  // Another attempt with this key may hold the same binding and bind anew over
+  // it, so the agent's word alone does not settle a caller's own key.
+  GiveUp(context, request, refusal);
 }
 
 void OnRefused(Context& context, Request& request, const Refusal& refusal) {
-  if (refusal.reason == Reason::kBusy) {
-    NoteBusy(context.state.agents, request.agent);
-  }
+  NoteRefusal(context, request, refusal.reason);
+  if (request.response_started) return Truncate(context, request, refusal);
   if (refusal.verdict == Verdict::kNotRun) {
-    if (IsPassedOn(refusal.reason)) return PlaceAgain(context, request);
-    if (MayRetry(context, request)) return PlaceAgain(context, request);
-    return Refuse(context, request, refusal);
+    return OnNotRun(context, request, refusal);
   }
-  if (request.idempotent && MayRetry(context, request)) {
-    Log(context, request, "requeue", "retry");
-    return Enqueue(context, request);
-  }
-  Refuse(context, request, refusal);
+  const bool retry = request.idempotent && IsWorthRetrying(refusal.reason) &&
+                     MayRetry(context, request);
+  if (!retry) return Refuse(context, request, refusal);
+  Log(context, request, "requeue", "retry");
+  Enqueue(context, request);
 }
 
 // No complete answer: the connection failed or broke, or the agent is silent.
 void OnNoAnswer(Context& context, Request& request, bool was_sent) {
   const Refusal lost{.verdict = Verdict::kMayHaveRun,
                      .reason = Reason::kConnectionLost};
-  if (request.response_started) {
-    context.Do(TruncateResponse{.id = request.id, .refusal = lost});
-    return Forget(context, request.id);
-  }
+  if (request.response_started) return Truncate(context, request, lost);
   if (request.idempotent) {
-    if (!was_sent || MayRetry(context, request)) {
-      NoteBusy(context.state.agents, request.agent);
-      Log(context, request, "requeue", was_sent ? "retry" : "not_sent");
-      return Enqueue(context, request);
+    if (was_sent && !MayRetry(context, request)) {
+      return Refuse(context, request, lost);
     }
-    return Refuse(context, request, lost);
+    Log(context, request, "requeue", was_sent ? "retry" : "not_sent");
+    return Enqueue(context, request);
   }
   // The owner runs it, waits for the run in progress, or replays the result.
-  if (MayRetry(context, request)) return DispatchToOwner(context, request);
+  if (MayRetry(context, request)) {
+    if (was_sent) return DispatchToOwner(context, request);
+    return Delay(context, request);
+  }
   GiveUp(context, request,
          {.verdict = Verdict::kNotRun, .reason = Reason::kConnectionLost});
 }
 
-void Confirm(Context& context, Request& request, const Refusal& refusal) {
-  RouterState& state = context.state;
-  request.phase = Phase::kConfirming;
-  request.pending = refusal;
-  request.phase_deadline = context.now + state.options.confirm_timeout;
-  state.deadlines.emplace(request.phase_deadline, request.id);
-  if (request.owner) {
-    return context.Do(SendMessage{
-        .to = request.owner->agent,
-        .body =
-            protocol::Revoke{.request = request.id,
-                             .bound_to = request.owner->incarnation,
-                             .workspace = request.workspace,
-                             .key = request.key,
-                             .binding_revision = request.binding_revision}});
-  }
-  const Binding tombstone{.tombstone = true, .written_by = request.id};
-  context.Do(WriteBinding{.id = request.id,
-                          .store_key = request.store_key,
-                          .expected_revision = request.binding_revision,
-                          .value = FormatBinding(tombstone)});
-}
-
-bool MayConfirm(Context& context, const Request& request) {
-  RouterState& state = context.state;
-  if (request.owner) {
-    const auto it = state.agents.agents.find(request.owner->agent);
-    return it != state.agents.agents.end() && it->second.alive &&
-           it->second.incarnation == request.owner->incarnation;
-  }
-  const double rate = state.options.confirmations_per_second;
-  return TryTake(state.confirmations, rate, rate, context.now);
-}
-
-void ExpireRequest(Context& context, Request& request) {
-  if (request.phase == Phase::kConfirming) {
-    if (context.now < request.phase_deadline) return;
-    Refusal refusal = request.pending;
-    refusal.verdict = Verdict::kMayHaveRun;
-    return Refuse(context, request, refusal);
-  }
-  const Refusal expired{.verdict = Verdict::kMayHaveRun,
-                        .reason = Reason::kDeadlineExceeded};
-  if (request.phase == Phase::kDispatched) {
-    context.Do(CancelDispatch{.id = request.id, .attempt = request.attempt});
-    NoteEnded(context.state.agents, request.agent, request.id);
-    if (request.response_started) {
-      context.Do(TruncateResponse{.id = request.id, .refusal = expired});
-      return Forget(context, request.id);
-    }
-    if (request.idempotent) return Refuse(context, request, expired);
-  }
-  Dequeue(context, request);
-  // A write of the binding may still take effect, so nothing is confirmed.
-  if (request.phase == Phase::kWritingBinding) {
-    return Refuse(context, request, expired);
-  }
-  GiveUp(context, request,
-         {.verdict = Verdict::kNotRun, .reason = Reason::kDeadlineExceeded});
+void EndAttempt(Context& context, const Request& request) {
+  NoteEnded(context.state.agents, request.agent, request.id, request.suspect);
 }
 
 }  // namespace
@@ -151,17 +141,19 @@
                        request->phase == Phase::kDispatched &&
                        request->attempt == event.attempt;
   if (!current) return;
-  NoteEnded(context.state.agents, request->agent, request->id);
+  EndAttempt(context, *request);
   switch (event.outcome) {
     case DispatchOutcome::kCompleted:
-      suspects::NoteCompleted(context.state.suspects, request->fingerprint);
+      suspects::NoteCompleted(context.state.suspects, request->fingerprint,
+                              context.now);
       return Forget(context, event.id);
     case DispatchOutcome::kRefused:
       return OnRefused(context, *request, event.refusal);
     case DispatchOutcome::kNotSent:
-      return OnNoAnswer(context, *request, /*was_sent=*/false);
     case DispatchOutcome::kLost:
-      return OnNoAnswer(context, *request, /*was_sent=*/true);
+      NoteBusy(context.state.agents, request->agent);
+      return OnNoAnswer(context, *request,
+                        event.outcome == DispatchOutcome::kLost);
   }
 }
 
@@ -176,54 +168,41 @@
   Request* request = Find(context, event.id);
   if (request == nullptr) return;
   Dequeue(context, *request);
+  if (request->phase == Phase::kWritingBinding) ReturnGrant(context, *request);
   if (request->phase == Phase::kDispatched) {
-    NoteEnded(context.state.agents, request->agent, request->id);
+    EndAttempt(context, *request);
     context.Do(CancelDispatch{.id = event.id, .attempt = request->attempt});
   }
   Log(context, *request, "drop", "caller_left");
   Forget(context, event.id);
 }
 
-void OnRevokeReply(Context& context, const protocol::RevokeReply& reply) {
-  Request* request = Find(context, reply.request);
-  if (request == nullptr || request->phase != Phase::kConfirming) return;
-  Refusal refusal = request->pending;
-  if (reply.begun) refusal.verdict = Verdict::kMayHaveRun;
-  Refuse(context, *request, refusal);
-}
-
-void GiveUp(Context& context, Request& request, Refusal refusal) {
-  Dequeue(context, request);
-  const bool needs_proof =
-      !request.idempotent && refusal.verdict == Verdict::kNotRun;
-  if (!needs_proof) return Refuse(context, request, refusal);
-  if (MayConfirm(context, request)) return Confirm(context, request, refusal);
-  refusal.verdict = Verdict::kMayHaveRun;
-  Refuse(context, request, refusal);
-}
-
-void Refuse(Context& context, Request& request, Refusal refusal) {
-  Log(context, request, "refuse", common::ToString(refusal.reason));
-  context.Do(RefuseRequest{.id = request.id, .refusal = refusal});
-  Forget(context, request.id);
-}
-
-void Forget(Context& context, common::RequestId id) {
-  RouterState& state = context.state;
-  const auto it = state.requests.find(id);
-  if (it == state.requests.end()) return;
-  state.deadlines.erase({it->second.deadline, id});
-  state.deadlines.erase({it->second.phase_deadline, id});
-  state.requests.erase(it);
+void Abandon(Context& context, Request& request, Reason reason) {
+  if (IsConfirming(request)) return;
+  const Refusal unknown{.verdict = Verdict::kMayHaveRun, .reason = reason};
+  if (request.phase == Phase::kDispatched) {
+    context.Do(CancelDispatch{.id = request.id, .attempt = request.attempt});
+    EndAttempt(context, request);
+    if (request.response_started) return Truncate(context, request, unknown);
+    if (request.idempotent) return Refuse(context, request, unknown);
+  }
+  // The write may still take effect and another router dispatch by it, so
+  // nothing can be confirmed.
+  if (request.phase == Phase::kWritingBinding) {
+    ReturnGrant(context, request);
+    return Refuse(context, request, unknown);
+  }
+  GiveUp(context, request, {.verdict = Verdict::kNotRun, .reason = reason});
 }
 
-void ExpireRequests(Context& context) {
-  auto& deadlines = context.state.deadlines;
-  while (!deadlines.empty() && deadlines.begin()->first <= context.now) {
-    const common::RequestId id = deadlines.begin()->second;
-    deadlines.erase(deadlines.begin());
-    if (Request* request = Find(context, id)) ExpireRequest(context, *request);
+void OnTimer(Context& context, Request& request) {
+  if (IsConfirming(request)) {
+    Refusal refusal = request.pending;
+    refusal.verdict = Verdict::kMayHaveRun;
+    return Refuse(context, request, refusal);
   }
+  if (context.now < request.deadline) return Resume(context, request);
+  Abandon(context, request, Reason::kDeadlineExceeded);
 }
 
 }  // namespace shallotbeam::routing::internal
--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -46,6 +46,12 @@
     for (const HostEntry& host : event.hosts) {
       SetLeaving(context.state.agents, host.process, host.leaving);
     }
+    // Names that left the list are forgotten; known agents keep their mark.
+    std::set<common::ProcessName> leaving;
+    for (const HostEntry& host : event.hosts) {
+      if (host.leaving) leaving.insert(host.process);
+    }
+    context.state.agents.leaving = std::move(leaving);
   }
   void operator()(const Tick&) { internal::OnTick(context); }
   void operator()(const DrainRequested&) {
@@ -62,6 +68,7 @@
   state.options = options;
   state.random.seed(options.seed);
   state.agents.options = options.membership;
+  state.agents.data_centre = options.data_centre;
   state.suspects.options = options.suspects;
   return state;
 }
@@ -69,6 +76,7 @@
 void Handle(RouterState& state, common::TimePoint now, const RouterEvent& event,
             RouterActions* actions) {
   Context context{.state = state, .now = now, .actions = *actions};
+  if (state.started == common::TimePoint()) state.started = now;
   std::visit(EventHandler{context}, event);
 }
 
@@ -76,24 +84,24 @@
 
 void Log(Context& context, const Request& request, std::string_view decision,
          std::string_view cause) {
-  const auto free = context.state.agents.free_agents.find(request.pool);
-  const std::size_t listed =
-      free == context.state.agents.free_agents.end() ? 0 : free->second.size();
-  context.Do(LogDecision{.id = request.id,
-                         .workspace = request.workspace,
-                         .kind = request.kind,
-                         .decision = decision,
-                         .agent = request.agent,
-                         .cause = cause,
-                         .passed_over = listed});
+  context.Do(LogDecision{
+      .id = request.id,
+      .workspace = request.workspace,
+      .kind = request.kind,
+      .decision = decision,
+      .agent = request.agent,
+      .cause = cause,
+      .passed_over = PassedOverIn(context.state.agents, request.pool)});
 }
 
 common::Duration RetryAfter(Context& context, common::Duration estimate) {
   const double jitter = context.state.options.retry_after_jitter;
   std::uniform_real_distribution<double> spread(1 - jitter, 1 + jitter);
   constexpr common::Duration kLeast = std::chrono::milliseconds(100);
+  const common::Duration bounded =
+      std::clamp(estimate, kLeast, context.state.options.max_retry_after);
   return std::chrono::duration_cast<common::Duration>(
-      std::max(estimate, kLeast) * spread(context.state.random));
+      bounded * spread(context.state.random));
 }
 
 }  // namespace internal
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -44,15 +44,27 @@
   double confirmations_per_second = 50;
   // Relative spread of Retry-After around the estimate.
   double retry_after_jitter = 0.25;
+  common::Duration max_retry_after = std::chrono::seconds(60);
+  // How long requests are queued while no agent of the pool serves. Covers the
+  // restart of an agent; without an agent for longer, requests are refused.
+  common::Duration outage_bridge = std::chrono::seconds(5);
+  // Pause before a request that was refused as a suspect, or could not be
+  // sent, is tried again; doubles from the first to the last.
+  common::Duration first_delay = std::chrono::milliseconds(20);
+  common::Duration last_delay = std::chrono::seconds(1);
+  // How long a router named by an agent is passed on.
+  common::Duration router_memory = std::chrono::seconds(10);
   common::Duration drain_deadline = std::chrono::seconds(60);
 };
 
 enum class Phase : std::uint8_t {
   kReadingBinding,  // waits for the store
   kQueued,
+  kDelayed,         // is placed again when its timer fires
   kWritingBinding,  // waits for the store, holds a slot
   kDispatched,
-  kConfirming,  // waits for proof that it did not run
+  kRevoking,          // waits for the owner's word that it did not run
+  kWritingTombstone,  // waits for the store before it is refused as not run
 };
 
 // A request from its arrival to its final answer.
@@ -69,18 +81,23 @@
   std::size_t bytes = 0;
 
   Phase phase = Phase::kQueued;
-  common::TimePoint phase_deadline;  // for kConfirming
+  common::TimePoint timer;  // its entry in RouterState::timers
   std::uint32_t attempt = 0;
   int retries = 0;
   bool response_started = false;
   common::ProcessName agent;  // of the current attempt
   common::GrantId grant = common::GrantId::kNone;
+  bool suspect = false;           // the current attempt runs isolated
+  common::ProcessName avoid;      // refused it as a suspect
+  common::Duration last_pause{};  // in kDelayed
 
   // Only for non-idempotent requests.
   std::string key;
   std::string store_key;  // empty for a ticket
   std::uint64_t binding_revision = 0;
   std::optional<Owner> owner;
+  std::uint32_t writes = 0;
+  std::string written;      // value of the last write
   common::Refusal pending;  // while confirming
 };
 
@@ -88,7 +105,12 @@
   WorkQueue queue;
   bool demand_changed = false;
   common::TimePoint demand_sent;
-  std::uint64_t demand_sequence = 0;
+  common::TimePoint served;  // last heartbeat of an agent that serves
+};
+
+struct KnownRouter {
+  common::Endpoint control;
+  common::TimePoint last_named;
 };
 
 struct RouterState {
@@ -96,16 +118,22 @@
   config::FleetConfig config;
   std::mt19937_64 random;
   std::unordered_map<common::RequestId, Request> requests;
-  std::set<std::pair<common::TimePoint, common::RequestId>> deadlines;
+  // One entry per request.
+  std::set<std::pair<common::TimePoint, common::RequestId>> timers;
   std::map<common::PoolName, PoolState> pools;
   AgentTable agents;
   fairness::ShareLedger ledger;
   suspects::SuspectList suspects;
   std::map<common::PoolName, RetryBudget> retry_budgets;
   TokenBucket confirmations;
+  std::map<common::ProcessName, KnownRouter> known_routers;
+  // Over all pools, as pools may be forgotten and come back.
+  std::uint64_t demand_sequence = 0;
+  common::TimePoint started;  // first event
   common::TimePoint heartbeat_sent;
   common::TimePoint shares_sent;
   bool draining = false;
+  bool drain_forced = false;
   bool drain_reported = false;
   common::TimePoint drain_started;
 };
--- a/Source/Core/Routing/WorkQueue.cpp
+++ b/Source/Core/Routing/WorkQueue.cpp
@@ -46,31 +46,25 @@
   }
 }
 
+// A share of the difference per dispatch.
+constexpr int kSmoothing = 8;
+
 void NoteDispatch(WorkspaceQueue& workspace, common::TimePoint now) {
-  constexpr int kSmoothing = 8;
-  const common::Duration interval = now - workspace.last_dispatch;
-  const bool first = workspace.last_dispatch == common::TimePoint();
-  workspace.last_dispatch = now;
-  // A pause while nothing waited says nothing about the rate of service.
-  if (first || workspace.waiting == 0) return;
-  workspace.dispatch_interval +=
-      (interval - workspace.dispatch_interval) / kSmoothing;
+  const common::Duration interval = now - workspace.last_progress;
+  workspace.last_progress = now;
+  // Starting from zero would promise too short waits for many dispatches.
+  workspace.dispatch_interval =
+      workspace.dispatch_interval.count() == 0
+          ? interval
+          : workspace.dispatch_interval +
+                (interval - workspace.dispatch_interval) / kSmoothing;
 }
 
 }  // namespace
 
 void Push(WorkQueue& queue, const common::WorkspaceName& workspace,
           const common::KindName& kind, common::Urgency urgency,
-          const QueuedRequest& request) {
-  WorkspaceQueue& owner = queue.workspaces[workspace];
-  KindQueue& target = QueueOf(owner, kind, urgency);
-  target.requests.push_back(request);
-  Account(queue, owner, target, request, +1);
-}
-
-void PushBack(WorkQueue& queue, const common::WorkspaceName& workspace,
-              const common::KindName& kind, common::Urgency urgency,
-              const QueuedRequest& request) {
+          const QueuedRequest& request, common::TimePoint now) {
   WorkspaceQueue& owner = queue.workspaces[workspace];
   KindQueue& target = QueueOf(owner, kind, urgency);
   const auto place = std::upper_bound(
@@ -79,6 +73,8 @@
         return arrived < other.arrived;
       });
   target.requests.insert(place, request);
+  // A pause while nothing waited says nothing about the rate of service.
+  if (owner.waiting == 0) owner.last_progress = now;
   Account(queue, owner, target, request, +1);
 }
 
@@ -133,10 +129,29 @@
 }
 
 common::Duration EstimateWait(const WorkQueue& queue,
-                              const common::WorkspaceName& workspace) {
+                              const common::WorkspaceName& workspace,
+                              const common::KindName& kind,
+                              common::Urgency urgency, common::TimePoint now) {
   const auto it = queue.workspaces.find(workspace);
-  if (it == queue.workspaces.end()) return common::Duration();
-  return it->second.dispatch_interval * it->second.waiting;
+  if (it == queue.workspaces.end() || it->second.waiting == 0) return {};
+  const WorkspaceQueue& owner = it->second;
+  // While requests of this kind wait, the other kinds take their shares.
+  double ahead = 0;
+  double weights = UrgencyWeight(urgency);
+  for (const auto& [name, other] : owner.kinds) {
+    if (name == kind) {
+      ahead = static_cast<double>(other.requests.size());
+    } else if (!other.requests.empty()) {
+      weights += UrgencyWeight(other.urgency);
+    }
+  }
+  ahead = std::min<double>((ahead + 1) * weights / UrgencyWeight(urgency),
+                           owner.waiting + 1);
+  // The dispatch that is overdue counts as if it came now.
+  const common::Duration stall = now - owner.last_progress;
+  common::Duration interval = owner.dispatch_interval;
+  if (stall > interval) interval += (stall - interval) / kSmoothing;
+  return std::chrono::duration_cast<common::Duration>(interval * ahead);
 }
 
 std::vector<protocol::WorkspaceDemand> SummariseDemand(const WorkQueue& queue,
--- a/Source/Core/Routing/WorkQueue.h
+++ b/Source/Core/Routing/WorkQueue.h
@@ -30,9 +30,11 @@
 struct WorkspaceQueue {
   std::map<common::KindName, KindQueue> kinds;
   int waiting = 0;
-  // Smoothed time between two dispatches while requests wait.
+  // Smoothed time between two dispatches while requests wait; zero until the
+  // first one.
   common::Duration dispatch_interval{};
-  common::TimePoint last_dispatch;
+  // Last dispatch, or when the first request began to wait.
+  common::TimePoint last_progress;
 };
 
 // The waiting requests of one pool at one router.
@@ -41,14 +43,10 @@
   int waiting = 0;
 };
 
+// Queues a request at its place by arrival, also when it is put back.
 void Push(WorkQueue& queue, const common::WorkspaceName& workspace,
           const common::KindName& kind, common::Urgency urgency,
-          const QueuedRequest& request);
-
-// Puts a request back at its place by arrival.
-void PushBack(WorkQueue& queue, const common::WorkspaceName& workspace,
-              const common::KindName& kind, common::Urgency urgency,
-              const QueuedRequest& request);
+          const QueuedRequest& request, common::TimePoint now);
 
 // Takes the next request of a workspace. Kinds share by the weights of their
 // urgencies (8 : 4 : 1), so that every kind makes progress.
@@ -68,9 +66,20 @@
 QueueSize SizeOf(const WorkQueue& queue, const common::WorkspaceName& workspace,
                  const common::KindName& kind);
 
-// Expected time until a request queued now is dispatched.
+// Expected time until a request queued now is dispatched. Zero while nothing
+// is known of the rate; grows while dispatches stand still.
 common::Duration EstimateWait(const WorkQueue& queue,
-                              const common::WorkspaceName& workspace);
+                              const common::WorkspaceName& workspace,
+                              const common::KindName& kind,
+                              common::Urgency urgency, common::TimePoint now);
+
+// Forgets workspaces without waiting requests for which `keep` is false.
+template <typename Keep>
+void ForgetIdle(WorkQueue& queue, Keep&& keep) {
+  std::erase_if(queue.workspaces, [&](const auto& it) {
+    return it.second.waiting == 0 && !keep(it.first);
+  });
+}
 
 std::vector<protocol::WorkspaceDemand> SummariseDemand(const WorkQueue& queue,
                                                        common::TimePoint now);
--- a/Source/Core/Runtime/RouterEngine.cpp
+++ b/Source/Core/Runtime/RouterEngine.cpp
@@ -172,10 +172,11 @@
 void RouterEngine::Do(const routing::LogDecision& action) {
   common::Log(common::Subsystem::kRouting, common::LogLevel::kInfo,
               "event={} request={} workspace={} kind={} agent={} cause={} "
-              "candidates={}",
+              "busy={} silent={} leaving={} not_serving={}",
               action.decision, common::ToString(action.id),
               action.workspace.value, action.kind.value, action.agent.value,
-              action.cause, action.passed_over);
+              action.cause, action.passed_over.busy, action.passed_over.silent,
+              action.passed_over.leaving, action.passed_over.not_serving);
 }
 
 void RouterEngine::Do(const routing::DrainCompleted&) {
--- a/Source/Core/Suspects/SuspectList.cpp
+++ b/Source/Core/Suspects/SuspectList.cpp
@@ -1,6 +1,7 @@
 #include "Suspects/SuspectList.h"
 
 #include <algorithm>
+#include <set>
 
 namespace shallotbeam::suspects {
 
@@ -37,11 +38,14 @@
 protocol::Suspects NoteCrash(SuspectList& list,
                              const std::vector<common::Fingerprint>& in_flight,
                              common::TimePoint now) {
+  // Two sends of one request are one suspect.
+  const std::set<common::Fingerprint> distinct(in_flight.begin(),
+                                               in_flight.end());
   const auto known = std::count_if(
-      in_flight.begin(), in_flight.end(),
+      distinct.begin(), distinct.end(),
       [&](common::Fingerprint it) { return IsSuspect(list, it, now); });
   protocol::Suspects news;
-  for (const common::Fingerprint fingerprint : in_flight) {
+  for (const common::Fingerprint fingerprint : distinct) {
     const bool was_suspect = IsSuspect(list, fingerprint, now);
     Suspect& suspect = list.suspects[fingerprint];
     if (!was_suspect) suspect.crashes = 0;
@@ -55,10 +59,12 @@
   return news;
 }
 
-void NoteCompleted(SuspectList& list, common::Fingerprint fingerprint) {
+void NoteCompleted(SuspectList& list, common::Fingerprint fingerprint,
+                   common::TimePoint now) {
   const auto it = list.suspects.find(fingerprint);
   if (it == list.suspects.end()) return;
   it->second.crashes = 0;
+  it->second.cleared = now;
 }
 
 bool Merge(SuspectList& list, const protocol::Suspects& suspects,
@@ -71,10 +77,14 @@
         row.ban_left.count() > 0 ? now + row.ban_left : common::TimePoint();
     // Times of peers differ by the delivery delay; a second is no news.
     constexpr auto kSlack = std::chrono::seconds(1);
-    if (row.crashes > suspect.crashes) {
-      suspect.crashes = row.crashes;
+    // Old rows must not count as news, or peers would echo them for ever.
+    const bool stale =
+        last_crash <= suspect.cleared || row.age >= list.options.memory;
+    if (row.crashes > 0 && !stale) {
+      const bool was_suspect = IsSuspect(list, row.fingerprint, now);
+      news = news || !was_suspect || row.crashes > suspect.crashes;
+      suspect.crashes = std::max(suspect.crashes, row.crashes);
       suspect.last_crash = std::max(suspect.last_crash, last_crash);
-      news = true;
     }
     if (banned_until > suspect.banned_until + kSlack) {
       suspect.banned_until = banned_until;
--- a/Source/Core/Suspects/SuspectList.h
+++ b/Source/Core/Suspects/SuspectList.h
@@ -22,6 +22,7 @@
   int crashes = 0;
   common::TimePoint last_crash;
   common::TimePoint banned_until;
+  common::TimePoint cleared;  // reports of earlier crashes are ignored
 };
 
 struct SuspectList {
@@ -41,7 +42,8 @@
                              common::TimePoint now);
 
 // A suspect that completed is cleared. Does not lift a ban.
-void NoteCompleted(SuspectList& list, common::Fingerprint fingerprint);
+void NoteCompleted(SuspectList& list, common::Fingerprint fingerprint,
+                   common::TimePoint now);
 
 // Takes over what a peer knows; returns true if that was news.
 bool Merge(SuspectList& list, const protocol::Suspects& suspects,
