Test the router's decisions and level idle kinds with the last served

Cause: the decision package had no tests. The queue test showed that a kind that was served alone waited until a kind that was idle meanwhile had caught up (100 background dispatches delayed background work by 800 urgent ones).

Change: a kind back from idle starts at the virtual time of the last service of its workspace.

--- a/Source/Core/Routing/WorkQueue.cpp
+++ b/Source/Core/Routing/WorkQueue.cpp
@@ -23,15 +23,9 @@
   KindQueue& queue = workspace.kinds[kind];
   queue.urgency = urgency;
   if (!queue.requests.empty()) return queue;
-  // A kind back from idle starts level with the others: no saved credit.
-  double level = 0;
-  bool found = false;
-  for (const auto& [name, other] : workspace.kinds) {
-    if (other.requests.empty()) continue;
-    level = found ? std::min(level, other.virtual_time) : other.virtual_time;
-    found = true;
-  }
-  if (found) queue.virtual_time = std::max(queue.virtual_time, level);
+  // A kind back from idle starts level with the last one served: it has saved
+  // no credit, and it owes nothing for service while it was alone.
+  queue.virtual_time = std::max(queue.virtual_time, workspace.virtual_time);
   return queue;
 }
 
@@ -95,6 +89,7 @@
   if (best == nullptr) return std::nullopt;
   const QueuedRequest request = best->requests.front();
   best->requests.pop_front();
+  owner->second.virtual_time = best->virtual_time;
   best->virtual_time += 1 / UrgencyWeight(best->urgency);
   Account(queue, owner->second, *best, request, -1);
   NoteDispatch(owner->second, now);
--- a/Source/Core/Routing/WorkQueue.h
+++ b/Source/Core/Routing/WorkQueue.h
@@ -30,6 +30,7 @@
 struct WorkspaceQueue {
   std::map<common::KindName, KindQueue> kinds;
   int waiting = 0;
+  double virtual_time = 0;  // of the last kind served, before that service
   // Smoothed time between two dispatches while requests wait; zero until the
   // first one.
   common::Duration dispatch_interval{};
--- /dev/null
+++ b/Source/UnitTests/Core/Routing/RouterTest.cpp
@@ -0,0 +1,339 @@
+#include "Core/Routing/Fixture.h"
+#include "Property.h"
+#include "Routing/Router.h"
+
+namespace shallotbeam::routing::testing {
+
+namespace {
+
+using common::Reason;
+using common::Verdict;
+
+constexpr std::uint64_t kFingerprint = 7;
+
+void MarkSuspect(Fixture& it, milliseconds ban_left = milliseconds(0)) {
+  it.Receive(kA, kFirst,
+             protocol::Suspects{
+                 .rows = {{.fingerprint =
+                               static_cast<common::Fingerprint>(kFingerprint),
+                           .crashes = 1,
+                           .ban_left = ban_left}}});
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(RouterTest)
+
+// Guards against a request that spins between router and busy agent.
+BOOST_AUTO_TEST_CASE(BusyRefusalWaitsForAGrant) {
+  Fixture it;
+  it.Beat(kA, 1);
+  BOOST_CHECK_EQUAL(Only<DispatchRequest>(it.Arrive(1)).size(), 1);
+  const auto actions = it.RefuseNotRun(1, 1, Reason::kBusy);
+  BOOST_CHECK(Only<DispatchRequest>(actions).empty());
+  BOOST_CHECK_EQUAL(Sent<protocol::Demand>(it.Tick()).size(), 1);
+  const auto granted = Only<DispatchRequest>(it.Grant(kA, 9));
+  BOOST_REQUIRE_EQUAL(granted.size(), 1);
+  BOOST_CHECK_EQUAL(granted.front().attempt, 2);
+  BOOST_CHECK(granted.front().grant == static_cast<common::GrantId>(9));
+}
+
+// Guards against more work for an agent that just said that it is leaving.
+BOOST_AUTO_TEST_CASE(DrainingRefusalIsNewsOfTheAgent) {
+  Fixture it;
+  it.Beat(kA, 5);
+  it.Beat(kB, 1);
+  it.Arrive(1);
+  it.RefuseNotRun(1, 1, Reason::kDraining);
+  const auto next = Only<DispatchRequest>(it.Grant(kB, 9));
+  BOOST_REQUIRE_EQUAL(next.size(), 1);
+  it.Beat(kB, 1);
+  const auto second = Only<DispatchRequest>(it.Arrive(2));
+  BOOST_REQUIRE_EQUAL(second.size(), 1);
+  BOOST_CHECK_EQUAL(second.front().agent.value, kB.value);
+}
+
+// Guards against a suspect that is refused and sent again at network speed.
+BOOST_AUTO_TEST_CASE(IsolatedSuspectPauses) {
+  Fixture it;
+  it.Beat(kA, 5);
+  MarkSuspect(it);
+  int dispatches = 0;
+  auto actions = it.Arrive(1, 10, kFingerprint);
+  const common::TimePoint end = it.now + seconds(1);
+  std::uint64_t grant = 0;
+  while (it.now < end) {
+    for (const DispatchRequest& dispatch : Only<DispatchRequest>(actions)) {
+      BOOST_CHECK(dispatch.suspect);
+      ++dispatches;
+      it.RefuseNotRun(1, dispatch.attempt, Reason::kSuspectIsolated);
+    }
+    it.Beat(kA, 5);
+    actions = it.Tick();
+    const auto granted = it.Grant(kA, ++grant);
+    actions.insert(actions.end(), granted.begin(), granted.end());
+  }
+  // Pauses of 20, 40, ... 640 ms fit into 1 s six times at most.
+  BOOST_CHECK_GE(dispatches, 4);
+  BOOST_CHECK_LE(dispatches, 7);
+}
+
+// Guards against two suspects at one agent, and against other requests that
+// wait behind a suspect.
+BOOST_AUTO_TEST_CASE(GrantSkipsASecondSuspect) {
+  Fixture it;
+  it.Beat(kA, 1);
+  MarkSuspect(it);
+  BOOST_CHECK_EQUAL(
+      Only<DispatchRequest>(it.Arrive(1, 10, kFingerprint)).size(), 1);
+  it.Arrive(2, 10, kFingerprint);
+  it.Arrive(3);
+  const auto granted = Only<DispatchRequest>(it.Grant(kA, 1));
+  BOOST_REQUIRE_EQUAL(granted.size(), 1);
+  BOOST_CHECK(granted.front().id == it.Id(3));
+  it.End(1, 1, DispatchOutcome::kCompleted);
+  it.Tick(seconds(0));
+  it.Beat(kA, 1);
+  BOOST_CHECK_EQUAL(Only<DispatchRequest>(it.Tick()).size(), 1);
+}
+
+// Guards against a request that is banned while it waits and runs anyway.
+BOOST_AUTO_TEST_CASE(BanReachesQueuedRequests) {
+  Fixture it;
+  it.Beat(kA, 0);
+  it.Arrive(1, 10, kFingerprint);
+  MarkSuspect(it, seconds(600));
+  const auto actions = it.Grant(kA, 1);
+  BOOST_CHECK(Only<DispatchRequest>(actions).empty());
+  BOOST_CHECK(RefusalIn(actions).reason == Reason::kPoisonous);
+  BOOST_CHECK_EQUAL(Sent<protocol::GrantReturn>(actions).size(), 1);
+  BOOST_CHECK(RefusalIn(it.Arrive(2, 10, kFingerprint)).reason ==
+              Reason::kPoisonous);
+}
+
+// Guards against a pool without agents that holds requests to their deadlines.
+BOOST_AUTO_TEST_CASE(PoolWithoutAgentsRefusesAtOnce) {
+  Fixture it;
+  it.Tick(it.router.options.outage_bridge);
+  const common::Refusal refusal = RefusalIn(it.Arrive(1));
+  BOOST_CHECK(refusal.reason == Reason::kNoUpstream);
+  BOOST_CHECK(refusal.verdict == Verdict::kNotRun);
+  BOOST_CHECK(refusal.retry_after.has_value());
+}
+
+// Guards against refusals during the restart of an agent or of this router.
+BOOST_AUTO_TEST_CASE(ShortOutageIsBridged) {
+  Fixture it;
+  BOOST_CHECK(Only<RefuseRequest>(it.Arrive(1)).empty());
+  it.Tick(seconds(4));
+  it.Beat(kA, 0);
+  for (int i = 0; i < 9; ++i) {
+    it.Beat(kA, 5, kFirst, protocol::AgentState::kUpstreamDown);
+    BOOST_CHECK(Only<RefuseRequest>(it.Tick(milliseconds(500))).empty());
+  }
+  const common::Refusal refusal = RefusalIn(it.Tick(milliseconds(500)));
+  BOOST_CHECK(refusal.reason == Reason::kNoUpstream);
+  BOOST_CHECK(refusal.verdict == Verdict::kNotRun);
+}
+
+// Guards against queues that grow past their limits in number or bytes.
+BOOST_AUTO_TEST_CASE(QueueIsBounded) {
+  Fixture it;
+  it.Beat(kA, 0);
+  BOOST_CHECK(Only<RefuseRequest>(it.Arrive(1, 900)).empty());
+  BOOST_CHECK(RefusalIn(it.Arrive(2, 101)).reason == Reason::kQueueFull);
+  for (int i = 3; i < 6; ++i) {
+    BOOST_CHECK(Only<RefuseRequest>(it.Arrive(i)).empty());
+  }
+  const common::Refusal full = RefusalIn(it.Arrive(6));
+  BOOST_CHECK(full.reason == Reason::kQueueFull);
+  BOOST_CHECK(full.retry_after.has_value());
+  BOOST_CHECK_EQUAL(it.router.requests.size(), 4);
+}
+
+// Guards against requests that wait although they can't meet their deadline.
+BOOST_AUTO_TEST_CASE(HopelessRequestIsRefusedAtOnce) {
+  Fixture it;
+  it.Beat(kA, 0);
+  it.Arrive(1);
+  it.Arrive(2);
+  it.now += seconds(9);
+  it.Beat(kA, 0);
+  it.Grant(kA, 1);
+  const common::Refusal refusal = RefusalIn(it.Arrive(3));
+  BOOST_CHECK(refusal.reason == Reason::kDeadlineTooShort);
+  BOOST_REQUIRE(refusal.retry_after.has_value());
+  BOOST_CHECK(*refusal.retry_after >= seconds(13));
+  BOOST_CHECK(*refusal.retry_after <= seconds(23));
+}
+
+// Guards against requests of a restarted agent that hang, against the late end
+// of their old attempts, and against grants of slots that are gone.
+BOOST_AUTO_TEST_CASE(RestartedAgentOrphansItsRequests) {
+  Fixture it;
+  it.Beat(kA, 1);
+  it.Arrive(1);
+  const auto actions = it.Beat(kA, 0, kSecond);
+  BOOST_CHECK_EQUAL(Only<CancelDispatch>(actions).size(), 1);
+  BOOST_CHECK(Only<DispatchRequest>(it.Grant(kA, 1, kFirst)).empty());
+  const auto again = Only<DispatchRequest>(it.Grant(kA, 2, kSecond));
+  BOOST_REQUIRE_EQUAL(again.size(), 1);
+  BOOST_CHECK_EQUAL(again.front().attempt, 2);
+  it.End(1, 1, DispatchOutcome::kCompleted);
+  BOOST_CHECK_EQUAL(it.router.requests.size(), 1);
+  it.End(1, 2, DispatchOutcome::kCompleted);
+  BOOST_CHECK(it.router.requests.empty());
+}
+
+// Guards against a truncated response that is retried or looks complete.
+BOOST_AUTO_TEST_CASE(StartedResponseIsTruncated) {
+  Fixture it;
+  it.Beat(kA, 1);
+  it.Arrive(1);
+  it.Send(ResponseStarted{.id = it.Id(1), .attempt = 1});
+  const auto actions = it.End(1, 1, DispatchOutcome::kLost);
+  BOOST_CHECK_EQUAL(Only<TruncateResponse>(actions).size(), 1);
+  BOOST_CHECK(it.router.requests.empty());
+}
+
+// Guards against a decision line that doesn't say why agents were passed over.
+BOOST_AUTO_TEST_CASE(DecisionLineCountsAgentsByCause) {
+  Fixture it;
+  it.Beat(kA, 1);
+  it.Beat(kB, 0);
+  it.Beat(ProcessName("agent-c"), 4);
+  it.Beat(ProcessName("agent-d"), 4, kFirst, protocol::AgentState::kDraining);
+  it.Send(HostsListed{
+      .hosts = {{.process = ProcessName("agent-c"), .leaving = true}}});
+  const auto lines = Only<LogDecision>(it.Arrive(1));
+  BOOST_REQUIRE_EQUAL(lines.size(), 1);
+  BOOST_CHECK_EQUAL(lines.front().agent.value, kA.value);
+  // The chosen agent's only slot is taken by now.
+  BOOST_CHECK(lines.front().passed_over ==
+              (PassedOver{.busy = 2, .leaving = 2}));
+}
+
+// Guards against routers that never learn of each other, and against one that
+// stays known after it is gone.
+BOOST_AUTO_TEST_CASE(HeartbeatsNameKnownRouters) {
+  Fixture it;
+  it.Beat(kA, 1);
+  it.Receive(
+      kA, kFirst,
+      protocol::Heartbeat{
+          .role = protocol::Role::kAgent,
+          .pool = kPool,
+          .known_routers = {{.process = ProcessName("router-2"),
+                             .control = {.address = "127.0.0.1", .port = 7}},
+                            {.process = ProcessName("router-1"),
+                             .control = {.address = "127.0.0.1", .port = 8}}}});
+  const auto beats = Sent<protocol::Heartbeat>(it.Tick(milliseconds(250)));
+  BOOST_REQUIRE_EQUAL(beats.size(), 1);
+  BOOST_REQUIRE_EQUAL(beats.front().known_routers.size(), 1);
+  BOOST_CHECK_EQUAL(beats.front().known_routers.front().process.value,
+                    "router-2");
+  it.now += it.router.options.router_memory;
+  it.Beat(kA, 1);
+  const auto later = Sent<protocol::Heartbeat>(it.Tick());
+  BOOST_REQUIRE_EQUAL(later.size(), 1);
+  BOOST_CHECK(later.front().known_routers.empty());
+}
+
+// Guards against state of removed pools that stays for ever, and against
+// demand that an agent ignores because its sequence starts again.
+BOOST_AUTO_TEST_CASE(RemovedPoolsAreForgotten) {
+  Fixture it;
+  it.Beat(kA, 0);
+  it.Arrive(1);
+  it.Tick();
+  it.Send(CallerLeft{.id = it.Id(1)});
+  it.Tick();
+  const std::uint64_t sequence = it.router.demand_sequence;
+  BOOST_CHECK_EQUAL(sequence, 2);
+  config::FleetConfig config;
+  config.version = static_cast<common::ConfigVersion>(2);
+  it.Send(ConfigReceived{.config = config});
+  BOOST_CHECK(it.router.pools.empty());
+  it.Grant(kA, 1);
+  BOOST_CHECK(it.router.pools.empty());
+  BOOST_CHECK(it.router.retry_budgets.empty());
+  config = MakeConfig();
+  config.version = static_cast<common::ConfigVersion>(3);
+  it.Send(ConfigReceived{.config = config});
+  it.Beat(kA, 0);
+  it.Arrive(2);
+  const auto demand = Sent<protocol::Demand>(it.Tick());
+  BOOST_REQUIRE_EQUAL(demand.size(), 1);
+  BOOST_CHECK_EQUAL(demand.front().sequence, sequence + 1);
+}
+
+// Guards against a drain that loses queued work, takes new work, or ends
+// before everything is answered.
+BOOST_AUTO_TEST_CASE(DrainServesWhatIsQueued) {
+  Fixture it;
+  it.Beat(kA, 0);
+  it.Arrive(1);
+  it.Send(DrainRequested{});
+  BOOST_CHECK(RefusalIn(it.Arrive(2)).reason == Reason::kDraining);
+  BOOST_CHECK(
+      RefusalIn(it.Send(TicketRequested{
+                    .id = it.Id(3), .workspace = kWorkspace, .kind = kOrder}))
+          .reason == Reason::kDraining);
+  BOOST_CHECK(Only<DrainCompleted>(it.Tick()).empty());
+  BOOST_CHECK_EQUAL(Only<DispatchRequest>(it.Grant(kA, 1)).size(), 1);
+  BOOST_CHECK(Only<DrainCompleted>(it.Tick()).empty());
+  it.End(1, 1, DispatchOutcome::kCompleted);
+  BOOST_CHECK_EQUAL(Only<DrainCompleted>(it.Tick()).size(), 1);
+  BOOST_CHECK(Only<DrainCompleted>(it.Tick()).empty());
+}
+
+// Guards against a drain that leaves callers without an answer at its
+// deadline, and against a second request that moves the deadline.
+BOOST_AUTO_TEST_CASE(DrainDeadlineAnswersEverything) {
+  Fixture it;
+  config::FleetConfig config = MakeConfig();
+  config.version = static_cast<common::ConfigVersion>(2);
+  config.kinds[kChat].default_deadline = seconds(200);
+  config.kinds[kOrder].default_deadline = seconds(200);
+  it.Send(ConfigReceived{.config = config});
+  it.Beat(kA, 1);
+  it.Arrive(1);  // dispatched
+  it.Arrive(2);  // queued
+  it.ArriveKeyed(3, "key");
+  it.ArriveKeyed(4, "other key");
+  it.Send(DrainRequested{});
+  const common::TimePoint deadline = it.now + it.router.options.drain_deadline;
+  std::map<std::uint64_t, common::Refusal> refusals;
+  bool completed = false;
+  while (it.now < deadline) {
+    it.Beat(kA, 0);
+    it.Send(DrainRequested{});
+    const auto actions = it.Tick(milliseconds(100));
+    auto all = actions;
+    for (const WriteBinding& write : Only<WriteBinding>(actions)) {
+      // Only one tombstone is confirmed; the other answer is lost.
+      if (write.id != it.Id(3)) continue;
+      all = it.Send(BindingWritten{.id = write.id,
+                                   .outcome = StoreOutcome::kOk,
+                                   .revision = 1,
+                                   .value = write.value});
+      all.insert(all.end(), actions.begin(), actions.end());
+    }
+    for (const RefuseRequest& refusal : Only<RefuseRequest>(all)) {
+      BOOST_CHECK(!completed);
+      refusals[refusal.id.sequence] = refusal.refusal;
+    }
+    if (!Only<DrainCompleted>(all).empty()) completed = true;
+  }
+  BOOST_CHECK(completed);
+  BOOST_CHECK(it.router.requests.empty());
+  BOOST_REQUIRE_EQUAL(refusals.size(), 4);
+  BOOST_CHECK(refusals[1].verdict == Verdict::kMayHaveRun);
+  BOOST_CHECK(refusals[2].verdict == Verdict::kNotRun);
+  BOOST_CHECK(refusals[3].verdict == Verdict::kNotRun);
+  BOOST_CHECK(refusals[4].verdict == Verdict::kMayHaveRun);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shallotbeam::routing::testing
--- /dev/null
+++ b/Source/UnitTests/Core/Suspects/SuspectListTest.cpp
@@ -0,0 +1,109 @@
+#include "Property.h"
+#include "Suspects/SuspectList.h"
+
+namespace shallotbeam::suspects {
+
+namespace {
+
+using common::Fingerprint;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr auto kCulprit = static_cast<Fingerprint>(1);
+constexpr auto kOther = static_cast<Fingerprint>(2);
+const common::TimePoint kStart = common::TimePoint() + std::chrono::hours(1);
+
+protocol::Suspects Row(int crashes, milliseconds age) {
+  return {.rows = {{.fingerprint = kCulprit, .crashes = crashes, .age = age}}};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(SuspectListTest)
+
+// Guards against a ban after one crash and against a third crash.
+BOOST_AUTO_TEST_CASE(SecondCrashOfTheOnlySuspectBans) {
+  SuspectList list;
+  NoteCrash(list, {kCulprit, kOther}, kStart);
+  BOOST_CHECK(IsSuspect(list, kCulprit, kStart));
+  BOOST_CHECK(!IsBanned(list, kCulprit, kStart));
+  NoteCrash(list, {kCulprit, static_cast<Fingerprint>(3)}, kStart);
+  BOOST_CHECK(IsBanned(list, kCulprit, kStart));
+  BOOST_CHECK(!IsBanned(list, kOther, kStart));
+  BOOST_CHECK(!IsBanned(list, static_cast<Fingerprint>(3), kStart));
+  BOOST_CHECK(!IsBanned(list, kCulprit, kStart + list.options.poison_ban));
+}
+
+// Guards against a ban of innocent requests when the cause is not certain.
+BOOST_AUTO_TEST_CASE(TwoSuspectsAreNotBanned) {
+  SuspectList list;
+  NoteCrash(list, {kCulprit, kOther}, kStart);
+  NoteCrash(list, {kCulprit, kOther}, kStart + seconds(1));
+  BOOST_CHECK(!IsBanned(list, kCulprit, kStart + seconds(1)));
+  BOOST_CHECK(!IsBanned(list, kOther, kStart + seconds(1)));
+}
+
+// Guards against a culprit that escapes the ban by being in flight twice.
+BOOST_AUTO_TEST_CASE(TwoSendsOfOneRequestAreOneSuspect) {
+  SuspectList list;
+  NoteCrash(list, {kCulprit}, kStart);
+  NoteCrash(list, {kCulprit, kCulprit}, kStart);
+  BOOST_CHECK(IsBanned(list, kCulprit, kStart));
+  BOOST_CHECK_EQUAL(list.suspects.at(kCulprit).crashes, 2);
+}
+
+// Guards against a cleared suspect that a late report marks again.
+BOOST_AUTO_TEST_CASE(ReportFromBeforeTheClearingIsIgnored) {
+  SuspectList list;
+  NoteCrash(list, {kCulprit}, kStart);
+  NoteCompleted(list, kCulprit, kStart + seconds(2));
+  BOOST_CHECK(!IsSuspect(list, kCulprit, kStart + seconds(3)));
+  BOOST_CHECK(!Merge(list, Row(1, seconds(2)), kStart + seconds(3)));
+  BOOST_CHECK(!IsSuspect(list, kCulprit, kStart + seconds(3)));
+  BOOST_CHECK(Merge(list, Row(1, milliseconds(500)), kStart + seconds(3)));
+  BOOST_CHECK(IsSuspect(list, kCulprit, kStart + seconds(3)));
+}
+
+// Guards against a suspect that is forgotten although it crashed again.
+BOOST_AUTO_TEST_CASE(NewCrashRenewsAnExpiredSuspect) {
+  SuspectList list;
+  NoteCrash(list, {kCulprit}, kStart);
+  const auto later = kStart + list.options.memory;
+  BOOST_CHECK(!IsSuspect(list, kCulprit, later));
+  BOOST_CHECK(Merge(list, Row(1, milliseconds(0)), later));
+  BOOST_CHECK(IsSuspect(list, kCulprit, later));
+}
+
+// Guards against peers that echo rows to each other for ever.
+BOOST_AUTO_TEST_CASE(MergeOfKnownRowsIsNoNews) {
+  test::CheckProperty("a second merge of the same rows is no news", [] {
+    SuspectList list;
+    protocol::Suspects rows;
+    const int count = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < count; ++i) {
+      rows.rows.push_back(
+          {.fingerprint = static_cast<Fingerprint>(*rc::gen::inRange(1, 4)),
+           .crashes = *rc::gen::inRange(0, 4),
+           .ban_left = milliseconds(*rc::gen::inRange(0, 900'000)),
+           .age = milliseconds(*rc::gen::inRange(0, 900'000))});
+    }
+    Merge(list, rows, kStart);
+    RC_ASSERT(!Merge(list, rows, kStart));
+    RC_ASSERT(!Merge(list, Snapshot(list, kStart), kStart));
+  });
+}
+
+// Guards against growth without bound.
+BOOST_AUTO_TEST_CASE(OldEntriesAreForgotten) {
+  SuspectList list;
+  NoteCrash(list, {kCulprit}, kStart);
+  Expire(list, kStart + list.options.memory - seconds(1));
+  BOOST_CHECK_EQUAL(list.suspects.size(), 1);
+  Expire(list, kStart + list.options.memory);
+  BOOST_CHECK(list.suspects.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shallotbeam::suspects
