Keep attempts from running under a binding after a tombstone

An earlier send whose write conflicted with the binding of a later send adopted that binding and ran, although a send between them had been told "not run".

Change: a binding counts the tombstones before it. An attempt that read the key before a tombstone is refused with "may have run" instead of adopting a later binding. The property runs 5,000 worlds instead of 100.

--- a/Source/Core/Routing/Arrivals.cpp
+++ b/Source/Core/Routing/Arrivals.cpp
@@ -184,6 +184,7 @@
         context, request,
         {.verdict = Verdict::kMayHaveRun, .reason = Reason::kStoreUnavailable});
   }
+  if (binding) request.binding_epoch = binding->epoch;
   if (binding && !binding->tombstone) {
     request.owner = binding->owner;
     return DispatchToOwner(context, request);
--- a/Source/Core/Routing/Confirming.cpp
+++ b/Source/Core/Routing/Confirming.cpp
@@ -93,6 +93,7 @@
       TryTake(context.state.confirmations, rate, rate, context.now)) {
     // An attempt that read the other tombstone could still bind over it.
     request.binding_revision = event.revision;
+    request.binding_epoch = binding->epoch;
     return WriteTombstone(context, request);
   }
   Refusal refusal = request.pending;
--- a/Source/Core/Routing/Dispatching.cpp
+++ b/Source/Core/Routing/Dispatching.cpp
@@ -154,6 +154,7 @@
 std::string NextBinding(Request& request, Binding binding) {
   binding.written_by = request.id;
   binding.write = ++request.writes;
+  binding.epoch = request.binding_epoch + (binding.tombstone ? 1 : 0);
   request.written = FormatBinding(binding);
   return request.written;
 }
@@ -263,11 +264,21 @@
   }
   request.binding_revision = event.revision;
   if (event.outcome == StoreOutcome::kConflict) ReturnGrant(context, request);
+  const bool refused_meanwhile = binding->epoch > request.binding_epoch;
+  request.binding_epoch = binding->epoch;
   if (binding->tombstone) {
     // Another attempt was refused as not run, which rules this one out too.
     return GiveUp(context, request,
                   {.verdict = Verdict::kNotRun, .reason = Reason::kBarred});
   }
+  if (refused_meanwhile) {
+    // The key was refused as not run, then bound for a later send.
+    return Refuse(
+        context, request,
+        {.verdict = Verdict::kMayHaveRun,
+         .reason = Reason::kKeyInProgress,
+         .retry_after = RetryAfter(context, std::chrono::seconds(1))});
+  }
   request.owner = binding->owner;
   if (context.now >= request.deadline) {
     ReturnGrant(context, request);
--- a/Source/Core/Routing/KeyBinding.cpp
+++ b/Source/Core/Routing/KeyBinding.cpp
@@ -55,9 +55,9 @@
 }
 
 std::string FormatBinding(const Binding& binding) {
-  const std::string writer =
-      fmt::format("{:016x} {} {}", common::ToNumber(binding.written_by.router),
-                  binding.written_by.sequence, binding.write);
+  const std::string writer = fmt::format(
+      "{:016x} {} {} {}", common::ToNumber(binding.written_by.router),
+      binding.written_by.sequence, binding.write, binding.epoch);
   if (binding.tombstone) return fmt::format("{} {}", kTombstone, writer);
   return fmt::format("{} {:016x} {}", binding.owner.agent.value,
                      common::ToNumber(binding.owner.incarnation), writer);
@@ -65,20 +65,22 @@
 
 std::optional<Binding> ParseBinding(std::string_view value) {
   const std::vector<std::string> fields = Split(value, ' ');
-  if (fields.size() < 4) return std::nullopt;
-  const auto router = ParseNumber(fields[fields.size() - 3], 16);
-  const auto sequence = ParseNumber(fields[fields.size() - 2], 10);
-  const auto write = ParseNumber(fields[fields.size() - 1], 10);
-  if (!router || !sequence || !write) return std::nullopt;
+  if (fields.size() < 5) return std::nullopt;
+  const auto router = ParseNumber(fields[fields.size() - 4], 16);
+  const auto sequence = ParseNumber(fields[fields.size() - 3], 10);
+  const auto write = ParseNumber(fields[fields.size() - 2], 10);
+  const auto epoch = ParseNumber(fields[fields.size() - 1], 10);
+  if (!router || !sequence || !write || !epoch) return std::nullopt;
   Binding binding;
+  binding.epoch = *epoch;
   binding.write = static_cast<std::uint32_t>(*write);
   binding.written_by = {.router = common::Incarnation(*router),
                         .sequence = *sequence};
-  if (fields.size() == 4 && fields[0] == kTombstone) {
+  if (fields.size() == 5 && fields[0] == kTombstone) {
     binding.tombstone = true;
     return binding;
   }
-  if (fields.size() != 5) return std::nullopt;
+  if (fields.size() != 6) return std::nullopt;
   const auto incarnation = ParseNumber(fields[1], 16);
   if (!incarnation) return std::nullopt;
   binding.owner = {.agent = common::ProcessName(fields[0]),
--- a/Source/Core/Routing/KeyBinding.h
+++ b/Source/Core/Routing/KeyBinding.h
@@ -43,6 +43,10 @@
   // Counts the writes of one request: a value must be unique to its write, or
   // an earlier one would be taken for it when an answer is lost.
   std::uint32_t write = 0;
+  // Tombstones written for the key so far. An attempt that read the key before
+  // a tombstone was written must not run under a later binding: its caller was
+  // told that it did not run.
+  std::uint64_t epoch = 0;
 };
 
 std::string FormatBinding(const Binding& binding);
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -96,6 +96,7 @@
   std::string store_key;  // empty for a ticket
   std::uint64_t binding_revision = 0;
   std::optional<Owner> owner;
+  std::uint64_t binding_epoch = 0;
   std::uint32_t writes = 0;
   std::string written;      // value of the last write
   common::Refusal pending;  // while confirming
--- a/Source/UnitTests/Core/Routing/KeyedTest.cpp
+++ b/Source/UnitTests/Core/Routing/KeyedTest.cpp
@@ -34,23 +34,31 @@
   }
 };
 
-void CheckWorld(bool ticket) {
-  KeyedWorld world(*rc::gen::arbitrary<std::uint32_t>());
+void CheckWorld(std::uint32_t seed, int steps, bool ticket) {
+  KeyedWorld world(seed);
   if (ticket) {
     const FakeAgent& agent = world.AgentAt(0);
     world.SetKey(FormatTicket(
         {.owner = {.agent = agent.name, .incarnation = agent.incarnation}}));
   }
-  const int steps = *rc::gen::inRange(1, 300);
   for (int i = 0; i < steps; ++i) world.Step();
   world.Finish();
-  RC_CLASSIFY(world.Runs() == 1, "ran");
-  RC_CLASSIFY(world.Refusals() > 0, "refused as not run");
-  if (!world.Violation().empty()) RC_FAIL(world.Violation());
+  if (!world.Violation().empty()) {
+    RC_FAIL(world.Violation() + ", seed " + std::to_string(seed));
+  }
   RC_ASSERT(world.Runs() <= 1);
   RC_ASSERT(world.AllAnswered());
 }
 
+// The rarest fault found took 2,200 worlds to show, so that a case of the
+// property runs many.
+void CheckWorlds(bool ticket) {
+  constexpr int kWorlds = 50;
+  const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+  const int steps = *rc::gen::inRange(1, 300);
+  for (int i = 0; i < kWorlds; ++i) CheckWorld(seed + i, steps, ticket);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(KeyedTest)
@@ -59,12 +67,12 @@
 // for the refused send or an earlier one, under lost, late and crossed
 // messages, restarts of agents and store failures.
 BOOST_AUTO_TEST_CASE(CallersKeyRunsOnceAndVerdictsAreTrue) {
-  test::CheckProperty("callers' own keys", [] { CheckWorld(false); });
+  test::CheckProperty("callers' own keys", [] { CheckWorlds(false); });
 }
 
 // The same for tickets.
 BOOST_AUTO_TEST_CASE(TicketRunsOnceAndVerdictsAreTrue) {
-  test::CheckProperty("tickets", [] { CheckWorld(true); });
+  test::CheckProperty("tickets", [] { CheckWorlds(true); });
 }
 
 // Guards against a dispatch after the deadline when the binding's write is
@@ -120,6 +128,22 @@
   BOOST_CHECK(RefusalIn(actions).verdict == Verdict::kNotRun);
 }
 
+// Guards against an earlier send that runs, with its own body, under the
+// binding of a later send after one between them was refused as not run.
+BOOST_AUTO_TEST_CASE(BindingAfterATombstoneIsNotAdopted) {
+  for (const std::uint64_t epoch : {0, 1}) {
+    Binding1 it;
+    const std::string other =
+        FormatBinding({.owner = {.agent = kA, .incarnation = kFirst},
+                       .written_by = it.Id(9),
+                       .epoch = epoch});
+    const auto actions = it.Written(StoreOutcome::kConflict, 9, other);
+    BOOST_CHECK_EQUAL(Only<DispatchRequest>(actions).size(), 1 - epoch);
+    if (epoch == 0) continue;
+    BOOST_CHECK(RefusalIn(actions).verdict == Verdict::kMayHaveRun);
+  }
+}
+
 // Guards against a write that is recognised by the value of an earlier one.
 BOOST_AUTO_TEST_CASE(EveryWriteHasItsOwnValue) {
   Binding1 it;
--- a/Source/UnitTests/Core/Routing/KeyedWorld.h
+++ b/Source/UnitTests/Core/Routing/KeyedWorld.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTBEAM_UNITTESTS_CORE_ROUTING_KEYEDWORLD_H_
 #define SHALLOTBEAM_UNITTESTS_CORE_ROUTING_KEYEDWORLD_H_
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
@@ -92,7 +93,6 @@
   }
 
   int Runs() const { return runs_; }
-  int Refusals() const { return refusals_; }
   // Why a verdict was false; empty if none was.
   const std::string& Violation() const { return violation_; }
   bool AllAnswered() const {
@@ -193,7 +193,6 @@
     send.answered = true;
     send.not_run = not_run;
     if (!not_run) return;
-    ++refusals_;
     for (std::size_t i = 0; i < id.sequence; ++i) {
       if (sends_[i].ran) violation_ = "refused as not run after it ran";
     }
@@ -332,7 +331,6 @@
   std::vector<KeyedSend> sends_;
   std::vector<std::function<void()>> pending_;
   int runs_ = 0;
-  int refusals_ = 0;
   std::string violation_;
 };
 
