Remember attempts that may have run, and ends that cross an orphaning

Cause: an idempotent request whose first attempt was lost was refused with "not run" when it then waited in the queue to its deadline. A response that was complete or had begun when its attempt was given up was ignored, so that the request ran again for a caller that had its answer.

Change: after an attempt without a sure word every refusal of a request without a key says "may have run". The end or the first byte of the last attempt counts until the next attempt begins. The property of random event orders checks both, and that no slot is leaked.

--- a/Source/Core/Routing/Confirming.cpp
+++ b/Source/Core/Routing/Confirming.cpp
@@ -60,6 +60,10 @@
 }
 
 void Refuse(Context& context, Request& request, Refusal refusal) {
+  // A key's verdict is confirmed; without a key every attempt counts.
+  if (request.idempotent && request.may_have_run) {
+    refusal.verdict = Verdict::kMayHaveRun;
+  }
   Log(context, request, "refuse", common::ToString(refusal.reason));
   context.Do(RefuseRequest{.id = request.id, .refusal = refusal});
   Forget(context, request.id);
--- a/Source/Core/Routing/Internal.h
+++ b/Source/Core/Routing/Internal.h
@@ -45,6 +45,7 @@
 
 // Outcomes.cpp: ends attempts and requests.
 void OnDispatchEnded(Context& context, const DispatchEnded& event);
+void OnResponseStarted(Context& context, const ResponseStarted& event);
 void OnCallerLeft(Context& context, const CallerLeft& event);
 // The attempt in flight at a dead or restarted agent got no answer.
 void OnOrphaned(Context& context, common::RequestId id);
--- a/Source/Core/Routing/Outcomes.cpp
+++ b/Source/Core/Routing/Outcomes.cpp
@@ -101,6 +101,7 @@
   if (refusal.verdict == Verdict::kNotRun) {
     return OnNotRun(context, request, refusal);
   }
+  request.may_have_run = true;
   const bool retry = request.idempotent && IsWorthRetrying(refusal.reason) &&
                      MayRetry(context, request);
   if (!retry) return Refuse(context, request, refusal);
@@ -113,6 +114,7 @@
   const Refusal lost{.verdict = Verdict::kMayHaveRun,
                      .reason = Reason::kConnectionLost};
   if (request.response_started) return Truncate(context, request, lost);
+  request.may_have_run = request.may_have_run || was_sent;
   if (request.idempotent) {
     if (was_sent && !MayRetry(context, request)) {
       return Refuse(context, request, lost);
@@ -129,6 +131,13 @@
          {.verdict = Verdict::kNotRun, .reason = Reason::kConnectionLost});
 }
 
+// Forgets a request that holds no agent and needs no answer.
+void Drop(Context& context, Request& request) {
+  Dequeue(context, request);
+  if (request.phase == Phase::kWritingBinding) ReturnGrant(context, request);
+  Forget(context, request.id);
+}
+
 void EndAttempt(Context& context, const Request& request) {
   NoteEnded(context.state.agents, request.agent, request.id, request.suspect);
 }
@@ -137,10 +146,14 @@
 
 void OnDispatchEnded(Context& context, const DispatchEnded& event) {
   Request* request = Find(context, event.id);
-  const bool current = request != nullptr &&
-                       request->phase == Phase::kDispatched &&
-                       request->attempt == event.attempt;
+  const bool current = request != nullptr && request->attempt == event.attempt;
   if (!current) return;
+  if (request->phase != Phase::kDispatched) {
+    // The whole response reached the caller just before the attempt was given
+    // up, and no other attempt has begun.
+    if (event.outcome == DispatchOutcome::kCompleted) Drop(context, *request);
+    return;
+  }
   EndAttempt(context, *request);
   switch (event.outcome) {
     case DispatchOutcome::kCompleted:
@@ -164,17 +177,27 @@
   OnNoAnswer(context, *request, /*was_sent=*/true);
 }
 
+void OnResponseStarted(Context& context, const ResponseStarted& event) {
+  Request* request = Find(context, event.id);
+  if (request == nullptr || request->attempt != event.attempt) return;
+  request->response_started = true;
+  if (request->phase == Phase::kDispatched) return;
+  // The attempt was given up while its first byte was on its way.
+  context.Do(TruncateResponse{.id = event.id,
+                              .refusal = {.verdict = Verdict::kMayHaveRun,
+                                          .reason = Reason::kConnectionLost}});
+  Drop(context, *request);
+}
+
 void OnCallerLeft(Context& context, const CallerLeft& event) {
   Request* request = Find(context, event.id);
   if (request == nullptr) return;
-  Dequeue(context, *request);
-  if (request->phase == Phase::kWritingBinding) ReturnGrant(context, *request);
   if (request->phase == Phase::kDispatched) {
     EndAttempt(context, *request);
     context.Do(CancelDispatch{.id = event.id, .attempt = request->attempt});
   }
   Log(context, *request, "drop", "caller_left");
-  Forget(context, event.id);
+  Drop(context, *request);
 }
 
 void Abandon(Context& context, Request& request, Reason reason) {
--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -26,9 +26,7 @@
     internal::OnDispatchEnded(context, event);
   }
   void operator()(const ResponseStarted& event) {
-    const auto it = context.state.requests.find(event.id);
-    if (it == context.state.requests.end()) return;
-    if (it->second.attempt == event.attempt) it->second.response_started = true;
+    internal::OnResponseStarted(context, event);
   }
   void operator()(const MessageReceived& event) {
     internal::OnMessage(context, event.envelope);
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -85,6 +85,7 @@
   std::uint32_t attempt = 0;
   int retries = 0;
   bool response_started = false;
+  bool may_have_run = false;  // an earlier attempt ended without a sure word
   common::ProcessName agent;  // of the current attempt
   common::GrantId grant = common::GrantId::kNone;
   bool suspect = false;           // the current attempt runs isolated
--- a/Source/UnitTests/Core/Routing/InterleavingTest.cpp
+++ b/Source/UnitTests/Core/Routing/InterleavingTest.cpp
@@ -23,7 +23,9 @@
   Fixture it;
   std::mt19937 random;
   int arrivals = 0;
-  std::map<std::uint64_t, int> finals;    // by sequence
+  std::map<std::uint64_t, int> finals;  // by sequence
+  std::set<std::uint64_t> keyed_arrivals;
+  std::map<std::uint64_t, int> unsure;    // attempts that may have run
   std::vector<DispatchRequest> attempts;  // all, for late and repeated ends
   std::vector<WriteBinding> writes;       // not answered yet
   std::vector<ReadBinding> reads;         // not answered yet
@@ -41,11 +43,16 @@
     for (const RouterAction& action : actions) {
       if (const auto* refuse = std::get_if<RefuseRequest>(&action)) {
         ++finals[refuse->id.sequence];
+        const bool keyed = keyed_arrivals.count(refuse->id.sequence) > 0;
+        if (!keyed && refuse->refusal.verdict == Verdict::kNotRun) {
+          RC_ASSERT(unsure[refuse->id.sequence] == 0);
+        }
       } else if (const auto* cut = std::get_if<TruncateResponse>(&action)) {
         ++finals[cut->id.sequence];
       } else if (const auto* dispatch = std::get_if<DispatchRequest>(&action)) {
         RC_ASSERT(dispatch->time_left > common::Duration());
         attempts.push_back(*dispatch);
+        ++unsure[dispatch->id.sequence];
       } else if (const auto* write = std::get_if<WriteBinding>(&action)) {
         writes.push_back(*write);
       } else if (const auto* read = std::get_if<ReadBinding>(&action)) {
@@ -59,12 +66,19 @@
 
   void EndAttempt() {
     if (attempts.empty()) return;
-    const DispatchRequest attempt = attempts[Draw(attempts.size())];
+    const DispatchRequest attempt =
+        attempts[Draw(static_cast<int>(attempts.size()))];
     const auto outcome = static_cast<DispatchOutcome>(Draw(4));
     const auto request = it.router.requests.find(attempt.id);
     const bool current = request != it.router.requests.end() &&
-                         request->second.phase == Phase::kDispatched &&
                          request->second.attempt == attempt.attempt;
+    const bool dispatched =
+        current && request->second.phase == Phase::kDispatched;
+    const auto verdict = static_cast<Verdict>(Draw(2));
+    const bool not_run =
+        outcome == DispatchOutcome::kNotSent ||
+        (outcome == DispatchOutcome::kRefused && verdict == Verdict::kNotRun);
+    if (dispatched && not_run) --unsure[attempt.id.sequence];
     if (current && outcome == DispatchOutcome::kCompleted) {
       ++finals[attempt.id.sequence];
     }
@@ -72,7 +86,7 @@
         .id = attempt.id,
         .attempt = attempt.attempt,
         .outcome = outcome,
-        .refusal = {.verdict = static_cast<Verdict>(Draw(2)),
+        .refusal = {.verdict = verdict,
                     .reason = kReasons.at(Draw(kReasons.size()))}}));
     if (current && outcome == DispatchOutcome::kCompleted) {
       RC_ASSERT(it.router.requests.count(attempt.id) == 0);
@@ -118,7 +132,8 @@
 
   void ReplyToRevoke() {
     if (revokes.empty()) return;
-    const protocol::Revoke& revoke = revokes[Draw(revokes.size())];
+    const protocol::Revoke& revoke =
+        revokes[Draw(static_cast<int>(revokes.size()))];
     Note(it.Receive(
         AnyAgent(), AnyIncarnation(),
         protocol::RevokeReply{.request = revoke.request, .begun = Chance(50)}));
@@ -132,7 +147,7 @@
         const bool ticket = Chance(50);
         const Ticket named{
             .owner = {.agent = AnyAgent(), .incarnation = AnyIncarnation()}};
-        ++arrivals;
+        keyed_arrivals.insert(++arrivals);
         return Note(
             it.ArriveKeyed(arrivals, ticket ? FormatTicket(named) : "key"));
       }
@@ -171,6 +186,7 @@
   void CheckInvariants() {
     const RouterState& router = it.router;
     int queued = 0;
+    std::size_t dispatched = 0;
     RC_ASSERT(router.timers.size() == router.requests.size());
     for (const auto& [id, request] : router.requests) {
       RC_ASSERT(finals.count(id.sequence) == 0);
@@ -180,6 +196,7 @@
       RC_ASSERT(request.timer <= latest);
       queued += request.phase == Phase::kQueued ? 1 : 0;
       if (request.phase != Phase::kDispatched) continue;
+      ++dispatched;
       RC_ASSERT(router.agents.agents.at(request.agent).in_flight.count(id) ==
                 1);
     }
@@ -193,7 +210,7 @@
       RC_ASSERT(agent.suspects_in_flight <=
                 static_cast<int>(agent.in_flight.size()));
     }
-    RC_ASSERT(in_flight <= router.requests.size());
+    RC_ASSERT(in_flight == dispatched);
   }
 };
 
@@ -202,8 +219,9 @@
 BOOST_AUTO_TEST_SUITE(InterleavingTest)
 
 // Guards against two final answers for a request, a request that is never
-// answered, a timer that is missing or left behind, and a slot or a queue entry
-// that is leaked, under late, repeated and crossed events.
+// answered, a "not run" after an attempt that may have run, a timer that is
+// missing or left behind, and a slot or a queue entry that is leaked, under
+// late, repeated and crossed events.
 BOOST_AUTO_TEST_CASE(EveryArrivalGetsOneFinalAnswer) {
   test::CheckProperty("one final answer per arrival", [] {
     Chaos chaos(*rc::gen::arbitrary<std::uint32_t>());
--- a/Source/UnitTests/Core/Routing/KeyedWorld.h
+++ b/Source/UnitTests/Core/Routing/KeyedWorld.h
@@ -209,8 +209,9 @@
     if (offer.bound_to != agent.incarnation) {
       return refuse(common::Verdict::kMayHaveRun, Reason::kBoundElsewhere);
     }
-    if (Chance(10))
+    if (Chance(10)) {
       return refuse(common::Verdict::kNotRun, Reason::kBadRequest);
+    }
     if (agent.state == FakeAgent::State::kDone) {
       return {DispatchOutcome::kCompleted, {}};
     }
@@ -236,7 +237,6 @@
                                             common::Refusal refusal) {
       const auto it = router.router.requests.find(offer.id);
       const bool current = it != router.router.requests.end() &&
-                           it->second.phase == Phase::kDispatched &&
                            it->second.attempt == offer.attempt;
       if (current && outcome == DispatchOutcome::kCompleted) {
         NoteAnswer(offer.id, false);
--- a/Source/UnitTests/Core/Routing/RouterTest.cpp
+++ b/Source/UnitTests/Core/Routing/RouterTest.cpp
@@ -196,6 +196,34 @@
   BOOST_CHECK(it.router.requests.empty());
 }
 
+// Guards against "not run" after an attempt that was lost.
+BOOST_AUTO_TEST_CASE(LostAttemptIsRememberedInTheVerdict) {
+  Fixture it;
+  it.Beat(kA, 1);
+  it.Arrive(1);
+  it.End(1, 1, DispatchOutcome::kLost);
+  const common::Refusal refusal = RefusalIn(it.Tick(seconds(10)));
+  BOOST_CHECK(refusal.verdict == Verdict::kMayHaveRun);
+}
+
+// Guards against a second run of a request whose caller has its response, or
+// the beginning of it, while the router just gave the attempt up.
+BOOST_AUTO_TEST_CASE(EndThatCrossesAnOrphaningCounts) {
+  for (const bool completed : {true, false}) {
+    Fixture it;
+    it.Beat(kA, 1);
+    it.Arrive(1);
+    it.Beat(kA, 0, kSecond);
+    const auto actions =
+        completed ? it.End(1, 1, DispatchOutcome::kCompleted)
+                  : it.Send(ResponseStarted{.id = it.Id(1), .attempt = 1});
+    BOOST_CHECK_EQUAL(Only<TruncateResponse>(actions).size(),
+                      completed ? 0 : 1);
+    BOOST_CHECK(it.router.requests.empty());
+    BOOST_CHECK(Only<DispatchRequest>(it.Grant(kA, 2, kSecond)).empty());
+  }
+}
+
 // Guards against a decision line that doesn't say why agents were passed over.
 BOOST_AUTO_TEST_CASE(DecisionLineCountsAgentsByCause) {
   Fixture it;
