--- a/Source/Core/Routing/WorkQueue.cpp
+++ b/Source/Core/Routing/WorkQueue.cpp
@@ -23,15 +23,9 @@
   KindQueue& queue = workspace.kinds[kind];
   queue.urgency = urgency;
   if (!queue.requests.empty()) return queue;
-  // A kind back from idle starts level with the others: no saved credit.
-  double level = 0;
-  bool found = false;
-  for (const auto& [name, other] : workspace.kinds) {
-    if (other.requests.empty()) continue;
-    level = found ? std::min(level, other.virtual_time) : other.virtual_time;
-    found = true;
-  }
-  if (found) queue.virtual_time = std::max(queue.virtual_time, level);
+  // A kind back from idle starts level with the last one served: it has saved
+  // no credit, and it owes nothing for service while it was alone.
+  queue.virtual_time = std::max(queue.virtual_time, workspace.virtual_time);
   return queue;
 }
 
@@ -46,31 +40,25 @@
   }
 }
 
+// A share of the difference per dispatch.
+constexpr int kSmoothing = 8;
+
 void NoteDispatch(WorkspaceQueue& workspace, common::TimePoint now) {
-  constexpr int kSmoothing = 8;
-  const common::Duration interval = now - workspace.last_dispatch;
-  const bool first = workspace.last_dispatch == common::TimePoint();
-  workspace.last_dispatch = now;
-  // A pause while nothing waited says nothing about the rate of service.
-  if (first || workspace.waiting == 0) return;
-  workspace.dispatch_interval +=
-      (interval - workspace.dispatch_interval) / kSmoothing;
+  const common::Duration interval = now - workspace.last_progress;
+  workspace.last_progress = now;
+  // Starting from zero would promise too short waits for many dispatches.
+  workspace.dispatch_interval =
+      workspace.dispatch_interval.count() == 0
+          ? interval
+          : workspace.dispatch_interval +
+                (interval - workspace.dispatch_interval) / kSmoothing;
 }
 
 }  // namespace
 
 void Push(WorkQueue& queue, const common::WorkspaceName& workspace,
           const common::KindName& kind, common::Urgency urgency,
-          const QueuedRequest& request) {
-  WorkspaceQueue& owner = queue.workspaces[workspace];
-  KindQueue& target = QueueOf(owner, kind, urgency);
-  target.requests.push_back(request);
-  Account(queue, owner, target, request, +1);
-}
-
-void PushBack(WorkQueue& queue, const common::WorkspaceName& workspace,
-              const common::KindName& kind, common::Urgency urgency,
-              const QueuedRequest& request) {
+          const QueuedRequest& request, common::TimePoint now) {
   WorkspaceQueue& owner = queue.workspaces[workspace];
   KindQueue& target = QueueOf(owner, kind, urgency);
   const auto place = std::upper_bound(
@@ -79,6 +67,8 @@
         return arrived < other.arrived;
       });
   target.requests.insert(place, request);
+  // A pause while nothing waited says nothing about the rate of service.
+  if (owner.waiting == 0) owner.last_progress = now;
   Account(queue, owner, target, request, +1);
 }
 
@@ -99,6 +89,7 @@
   if (best == nullptr) return std::nullopt;
   const QueuedRequest request = best->requests.front();
   best->requests.pop_front();
+  owner->second.virtual_time = best->virtual_time;
   best->virtual_time += 1 / UrgencyWeight(best->urgency);
   Account(queue, owner->second, *best, request, -1);
   NoteDispatch(owner->second, now);
@@ -133,10 +124,29 @@
 }
 
 common::Duration EstimateWait(const WorkQueue& queue,
-                              const common::WorkspaceName& workspace) {
+                              const common::WorkspaceName& workspace,
+                              const common::KindName& kind,
+                              common::Urgency urgency, common::TimePoint now) {
   const auto it = queue.workspaces.find(workspace);
-  if (it == queue.workspaces.end()) return common::Duration();
-  return it->second.dispatch_interval * it->second.waiting;
+  if (it == queue.workspaces.end() || it->second.waiting == 0) return {};
+  const WorkspaceQueue& owner = it->second;
+  // While requests of this kind wait, the other kinds take their shares.
+  double ahead = 0;
+  double weights = UrgencyWeight(urgency);
+  for (const auto& [name, other] : owner.kinds) {
+    if (name == kind) {
+      ahead = static_cast<double>(other.requests.size());
+    } else if (!other.requests.empty()) {
+      weights += UrgencyWeight(other.urgency);
+    }
+  }
+  ahead = std::min<double>((ahead + 1) * weights / UrgencyWeight(urgency),
+                           owner.waiting + 1);
+  // The dispatch that is overdue counts as if it came now.
+  const common::Duration stall = now - owner.last_progress;
+  common::Duration interval = owner.dispatch_interval;
+  if (stall > interval) interval += (stall - interval) / kSmoothing;
+  return std::chrono::duration_cast<common::Duration>(interval * ahead);
 }
 
 std::vector<protocol::WorkspaceDemand> SummariseDemand(const WorkQueue& queue,
