--- a/Source/Core/Admission/Agent.cpp
+++ b/Source/Core/Admission/Agent.cpp
@@ -17,7 +17,9 @@
   void operator()(const OfferWithdrawn& event) {
     internal::OnWithdrawn(context, event);
   }
-  void operator()(const UpstreamResponded&) {}
+  void operator()(const UpstreamResponded& event) {
+    internal::OnResponded(context, event);
+  }
   void operator()(const UpstreamProgressed& event) {
     internal::OnProgress(context, event);
   }
@@ -46,6 +48,8 @@
   state.keys.options = options.keys;
   state.suspects.options = options.suspects;
   state.error_backoff = options.first_error_backoff;
+  // Grants of an earlier incarnation must not be taken for grants of this one.
+  state.next_grant = (common::ToNumber(options.incarnation) << 32U) + 1;
   return state;
 }
 
@@ -53,6 +57,7 @@
             AgentActions* actions) {
   Context context{.state = state, .now = now, .actions = *actions};
   std::visit(EventHandler{context}, event);
+  internal::FillSlots(context);
 }
 
 namespace internal {
--- a/Source/Core/Admission/Agent.h
+++ b/Source/Core/Admission/Agent.h
@@ -1,10 +1,12 @@
 #ifndef SHALLOTBEAM_CORE_ADMISSION_AGENT_H_
 #define SHALLOTBEAM_CORE_ADMISSION_AGENT_H_
 
+#include <deque>
 #include <list>
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Admission/Actions.h"
@@ -46,6 +48,8 @@
   common::Duration max_error_backoff = std::chrono::seconds(2);
   common::Duration drain_deadline = std::chrono::seconds(60);
   int max_waiting = 256;  // requests bound to this agent that wait here
+  // How long a router learnt from another router is announced to unanswered.
+  common::Duration forget_router_after = std::chrono::seconds(10);
 };
 
 // A request that this agent has accepted.
@@ -53,12 +57,17 @@
   AttemptId id;
   common::ProcessName router;
   common::WorkspaceName workspace;
+  common::KindName kind;
   common::Fingerprint fingerprint = common::Fingerprint::kNone;
   bool suspect = false;
   std::string key;  // with the workspace; empty if idempotent
   bool granted = false;
+  bool urgent = false;  // set while it waits
   common::TimePoint deadline;
   common::TimePoint started;
+  common::TimePoint progressed;    // end of the last measured piece
+  common::Duration first_token{};  // zero until the upstream responded
+  std::uint64_t generated_tokens = 0;
   common::Cost charged = 0;
 };
 
@@ -69,21 +78,48 @@
   common::Cost charged = 0;
 };
 
+// Requests of one workspace that wait at one router.
+struct RouterDemand {
+  int waiting = 0;
+  common::TimePoint since;  // arrival of the oldest
+  common::Urgency urgency = common::Urgency::kNormal;
+};
+
 // What an agent knows of one router.
 struct RouterPeer {
   common::Incarnation incarnation = common::Incarnation::kNone;
-  common::Endpoint control;
+  // Late messages of this incarnation are ignored.
+  common::Incarnation previous = common::Incarnation::kNone;
+  common::Endpoint control;  // empty until the first heartbeat
   common::TimePoint last_heard;
   std::uint64_t demand_sequence = 0;
-  std::map<common::WorkspaceName, protocol::WorkspaceDemand> demand;
+  std::map<common::WorkspaceName, RouterDemand> demand;  // waiting > 0 only
+};
+
+// Everything a workspace has waiting; exists only while there is something, so
+// that choosing the next workspace doesn't depend on the number of routers.
+struct WorkspaceBacklog {
+  fairness::ShareKey key;
+  // The router whose request has waited longest comes first.
+  std::set<std::pair<common::TimePoint, common::ProcessName>> routers;
+  int bound = 0;   // attempts that wait here without a grant
+  int urgent = 0;  // routers and bound attempts with urgent requests
+};
+
+struct LearntRouter {
+  common::Endpoint control;
+  common::TimePoint mentioned;
 };
 
 // Measured rates that size the debt cap and the urgency boost.
 struct ShareRate {
   common::TimePoint measured;
   common::Cost service_then = 0;
-  double cost_per_second = 0;  // of the whole pool
+  std::deque<double> samples;  // cost per second; the latest ones
+  double cost_per_second = 0;  // of the whole pool; median of `samples`
+  double backlogged_weight = 0;
   common::Cost largest_request = 1;
+  int costs_seen = 0;  // requests whose cost is known
 };
 
 struct AgentState {
@@ -94,15 +130,20 @@
   suspects::SuspectList suspects;
   fairness::ShareLedger ledger;
   ShareRate rate;
-  // Estimated cost of a request, by workspace.
-  std::map<common::WorkspaceName, common::Cost> estimates;
-  // When each workspace last had demand here.
+  // Mean cost of a request by workspace and kind; the empty kind stands for
+  // all, because a grant is charged before its kind is known.
+  std::map<std::pair<common::WorkspaceName, common::KindName>, common::Cost>
+      estimates;
+  std::map<common::WorkspaceName, WorkspaceBacklog> backlog;
+  // When each workspace without backlog last had one.
   std::map<common::WorkspaceName, common::TimePoint> last_demand;
   std::map<AttemptId, Attempt> running;
   std::list<Attempt> waiting;  // accepted, not begun
+  int waiting_granted = 0;     // those that hold a grant
   std::map<common::GrantId, OutstandingGrant> grants;
   std::uint64_t next_grant = 1;
   std::map<common::ProcessName, RouterPeer> routers;
+  std::map<common::ProcessName, LearntRouter> learnt_routers;
   // Slots held back after errors, by the end of the hold.
   std::multiset<common::TimePoint> held_slots;
   common::Duration error_backoff{};
--- a/Source/Core/Admission/Control.cpp
+++ b/Source/Core/Admission/Control.cpp
@@ -17,7 +17,14 @@
 
 protocol::Heartbeat MakeHeartbeat(const AgentState& state) {
   // Slots are not on offer for direct dispatch while others wait for them.
-  const int free = HasDemand(state) ? 0 : std::max(0, FreeSlots(state));
+  const protocol::AgentState serving = StateOf(state);
+  const bool open =
+      serving == protocol::AgentState::kServing && !HasDemand(state);
+  std::vector<protocol::PeerAddress> routers;
+  for (const auto& [name, peer] : state.routers) {
+    if (peer.control == common::Endpoint()) continue;
+    routers.push_back({.process = name, .control = peer.control});
+  }
   return {.role = protocol::Role::kAgent,
           .data_centre = state.options.data_centre,
           .control = state.options.control,
@@ -25,38 +32,57 @@
           .data = state.options.data,
           .pool = state.options.pool,
           .upstream = state.options.upstream,
-          .state = StateOf(state),
-          .free_slots = free,
-          .slot_limit = Slots(state.limit)};
+          .state = serving,
+          .free_slots = open ? std::max(0, FreeSlots(state)) : 0,
+          .slot_limit = Slots(state.limit),
+          .known_routers = std::move(routers)};
+}
+
+// The peer that sent the envelope; null if the sender's incarnation has ended.
+// A router that restarted loses its demand and its grants.
+RouterPeer* FindSender(Context& context, const protocol::Envelope& envelope) {
+  RouterPeer& peer = context.state.routers[envelope.sender];
+  if (peer.previous == envelope.incarnation) return nullptr;
+  if (peer.incarnation != envelope.incarnation) {
+    ClearDemand(context, envelope.sender, peer);
+    DropGrants(context, envelope.sender);
+    peer = {.incarnation = envelope.incarnation, .previous = peer.incarnation};
+  }
+  peer.last_heard = context.now;
+  return &peer;
 }
 
 void OnDemand(Context& context, const protocol::Envelope& envelope,
               const protocol::Demand& demand) {
-  AgentState& state = context.state;
-  if (demand.pool != state.options.pool) return;
-  RouterPeer& peer = state.routers[envelope.sender];
-  const bool stale = peer.incarnation == envelope.incarnation &&
-                     demand.sequence <= peer.demand_sequence;
-  if (stale) return;
-  peer.incarnation = envelope.incarnation;
-  peer.last_heard = context.now;
-  peer.demand_sequence = demand.sequence;
-  peer.demand.clear();
+  if (demand.pool != context.state.options.pool) return;
+  RouterPeer* peer = FindSender(context, envelope);
+  if (peer == nullptr || demand.sequence <= peer->demand_sequence) return;
+  peer->demand_sequence = demand.sequence;
+  std::map<common::WorkspaceName, RouterDemand> reported;
   for (const protocol::WorkspaceDemand& it : demand.workspaces) {
-    NoteDemand(context, it.workspace);
-    peer.demand[it.workspace] = it;
+    reported[it.workspace] = {.waiting = it.waiting,
+                              .since = context.now - it.oldest_wait,
+                              .urgency = it.urgency};
+  }
+  // Workspaces that are no longer reported have nothing waiting.
+  for (const auto& [workspace, old] : peer->demand) reported[workspace];
+  for (const auto& [workspace, it] : reported) {
+    SetDemand(context, envelope.sender, *peer, workspace, it);
   }
-  FillSlots(context);
 }
 
 void OnRouterHeartbeat(Context& context, const protocol::Envelope& envelope,
                        const protocol::Heartbeat& heartbeat) {
   AgentState& state = context.state;
-  RouterPeer& peer = state.routers[envelope.sender];
-  const bool joined = peer.incarnation != envelope.incarnation;
-  if (joined) peer = {.incarnation = envelope.incarnation};
-  peer.control = heartbeat.control;
-  peer.last_heard = context.now;
+  RouterPeer* peer = FindSender(context, envelope);
+  if (peer == nullptr) return;
+  // Demand may arrive before the first heartbeat.
+  const bool joined = peer->control == common::Endpoint();
+  peer->control = heartbeat.control;
+  for (const protocol::PeerAddress& it : heartbeat.known_routers) {
+    state.learnt_routers[it.process] = {.control = it.control,
+                                        .mentioned = context.now};
+  }
   if (!joined) return;
   // A router that starts empty gets everything at once.
   context.Do(SendMessage{.to = envelope.sender,
@@ -78,7 +104,7 @@
     OnDemand(context, envelope, demand);
   }
   void operator()(const protocol::GrantReturn& message) {
-    OnGrantReturn(context, message.grant);
+    OnGrantReturn(context, envelope.sender, message.grant);
   }
   void operator()(const protocol::Shares& shares) {
     fairness::Merge(context.state.ledger, shares);
@@ -99,8 +125,18 @@
 
 void DropSilentRouters(Context& context) {
   AgentState& state = context.state;
-  std::erase_if(state.routers, [&](const auto& it) {
-    return context.now - it.second.last_heard >= state.options.router_timeout;
+  for (auto it = state.routers.begin(); it != state.routers.end();) {
+    RouterPeer& peer = it->second;
+    if (context.now - peer.last_heard < state.options.router_timeout) {
+      ++it;
+      continue;
+    }
+    ClearDemand(context, it->first, peer);
+    it = state.routers.erase(it);
+  }
+  std::erase_if(state.learnt_routers, [&](const auto& it) {
+    return context.now - it.second.mentioned >=
+           state.options.forget_router_after;
   });
 }
 
@@ -136,6 +172,10 @@
   state.heartbeat_sent = context.now;
   const protocol::Heartbeat heartbeat = MakeHeartbeat(state);
   SendToRouters(context, heartbeat);
+  for (const auto& [name, learnt] : state.learnt_routers) {
+    if (state.routers.contains(name)) continue;
+    context.Do(SendMessage{.to = name, .body = heartbeat});
+  }
   for (const common::Endpoint& seed : state.options.seed_routers) {
     const bool known =
         std::any_of(state.routers.begin(), state.routers.end(),
@@ -170,10 +210,8 @@
   if (state.draining) return;
   state.draining = true;
   state.drain_started = context.now;
-  for (const Attempt& attempt : state.waiting) {
-    RejectNotRun(context, attempt, common::Reason::kDraining);
-  }
-  state.waiting.clear();
+  ReturnWaiting(context, common::Reason::kDraining);
+  DropGrants(context, {});
   SendHeartbeats(context);
 }
 
@@ -187,6 +225,7 @@
   }
   suspects::Expire(state.suspects, context.now);
   MeasureShareRate(context);
+  // Before the heartbeat, which reports the slots that are left.
   FillSlots(context);
   if (context.now - state.heartbeat_sent >= state.options.heartbeat_interval) {
     SendHeartbeats(context);
--- a/Source/Core/Admission/Internal.h
+++ b/Source/Core/Admission/Internal.h
@@ -1,6 +1,8 @@
 #ifndef SHALLOTBEAM_CORE_ADMISSION_INTERNAL_H_
 #define SHALLOTBEAM_CORE_ADMISSION_INTERNAL_H_
 
+#include <list>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -25,10 +27,40 @@
 void OnWithdrawn(Context& context, const OfferWithdrawn& event);
 void OnRevoke(Context& context, const common::ProcessName& router,
               const protocol::Revoke& revoke);
+// Reason not to run a request here and now.
+std::optional<common::Reason> CheckOffer(const Context& context,
+                                         const Attempt& attempt);
+// Rejects everything that waits here.
+void ReturnWaiting(Context& context, common::Reason reason);
 // Rejects an attempt that was not begun and bars its key.
 void RejectNotRun(Context& context, const Attempt& attempt,
                   common::Reason reason);
 
+using WaitingIterator = std::list<Attempt>::iterator;
+
+// Backlog.cpp: what waits, here and at the routers.
+void AddWaiting(Context& context, Attempt attempt);
+Attempt TakeWaiting(Context& context, WaitingIterator it);
+void SetDemand(Context& context, const common::ProcessName& router,
+               RouterPeer& peer, const common::WorkspaceName& workspace,
+               const RouterDemand& demand);
+void ClearDemand(Context& context, const common::ProcessName& router,
+                 RouterPeer& peer);
+bool HasDemand(const AgentState& state);
+
+// Shares.cpp: charges and virtual times.
+common::Cost EstimateCost(const AgentState& state,
+                          const common::WorkspaceName& workspace,
+                          const common::KindName& kind);
+void NoteCost(AgentState& state, const Attempt& attempt, common::Cost cost);
+void Charge(Context& context, const common::WorkspaceName& workspace,
+            common::Cost cost);
+// Ends idleness of a workspace whose backlog begins.
+void NoteBacklogBegins(Context& context, const common::WorkspaceName& name);
+void MeasureShareRate(Context& context);
+// What one share (weight 1) earns in `period`, by the measured rate.
+double ShareOver(const AgentState& state, common::Duration period);
+
 // Slots.cpp: which workspace gets the next free slot.
 
 // Gives free slots to waiting attempts and to demand of routers.
@@ -36,17 +68,18 @@
 void Start(Context& context, Attempt attempt, std::string_view cause);
 // Slots that neither run, wait nor are promised.
 int FreeSlots(const AgentState& state);
-bool HasDemand(const AgentState& state);
-common::Cost EstimateCost(const AgentState& state,
-                          const common::WorkspaceName& workspace);
-void Charge(Context& context, const common::WorkspaceName& workspace,
-            common::Cost cost);
-void NoteDemand(Context& context, const common::WorkspaceName& workspace);
+// Whether a request that holds a grant may start.
+bool MayStartGranted(const AgentState& state);
 void ExpireGrants(Context& context);
-void OnGrantReturn(Context& context, common::GrantId grant);
-void MeasureShareRate(Context& context);
+void OnGrantReturn(Context& context, const common::ProcessName& router,
+                   common::GrantId grant);
+// Takes back the grants of one router, or all if `router` is empty.
+void DropGrants(Context& context, const common::ProcessName& router);
 
 // Upstreams.cpp
+void OnResponded(Context& context, const UpstreamResponded& event);
+// Ends a running attempt whose caller has gone.
+void CancelRunning(Context& context, const AttemptId& id);
 void OnProgress(Context& context, const UpstreamProgressed& event);
 void OnUpstreamEnded(Context& context, const UpstreamEnded& event);
 void OnProbed(Context& context, const UpstreamProbed& event);
--- a/Source/Core/Admission/KeyTable.cpp
+++ b/Source/Core/Admission/KeyTable.cpp
@@ -6,21 +6,35 @@
 
 namespace {
 
-// Returns the key if its result was kept.
-void DropResult(KeyTable& table, const std::string& key,
+// Adds the key to `dropped` if its result was kept.
+void DropResult(KeyTable& table, const std::string& key, KeyEntry& entry,
                 std::vector<std::string>* dropped) {
-  const auto it = table.entries.find(key);
-  if (it == table.entries.end() || it->second.state != KeyState::kDone) return;
-  it->second.state = KeyState::kForgotten;
-  table.result_bytes -= it->second.result_bytes;
+  if (entry.state != KeyState::kDone) return;
+  table.results.erase({entry.changed, key});
+  table.result_bytes -= entry.result_bytes;
+  entry.state = KeyState::kForgotten;
+  entry.result_bytes = 0;
   dropped->push_back(key);
 }
 
 void Finish(KeyTable& table, const std::string& key, KeyEntry& entry,
             KeyState state, common::TimePoint now) {
+  table.finished.erase({entry.changed, key});
   entry.state = state;
   entry.changed = now;
-  table.finished.emplace_back(now, key);
+  table.finished.emplace(now, key);
+}
+
+// Remembers an unseen key as barred; returns false if there is no room.
+bool BarUnseen(KeyTable& table, const std::string& key, std::uint64_t revision,
+               common::TimePoint now) {
+  const std::size_t max =
+      table.options.max_keys + table.options.max_extra_barred;
+  if (table.entries.size() >= max) return false;
+  KeyEntry& entry = table.entries[key];
+  entry.revision = revision;
+  Finish(table, key, entry, KeyState::kBarred, now);
+  return true;
 }
 
 }  // namespace
@@ -34,18 +48,24 @@
       case KeyState::kAccepted:
       case KeyState::kBegun:
         return KeyAnswer::kInProgress;
+      case KeyState::kUnknown:
+        return KeyAnswer::kUnknown;
       case KeyState::kDone:
         return KeyAnswer::kReplay;
       case KeyState::kForgotten:
         return KeyAnswer::kForgotten;
       case KeyState::kBarred:
         if (revision <= entry.revision) return KeyAnswer::kBarred;
+        table.finished.erase({entry.changed, key});
         entry = {
             .state = KeyState::kAccepted, .revision = revision, .changed = now};
         return KeyAnswer::kRun;
     }
   }
-  if (table.entries.size() >= table.options.max_keys) return KeyAnswer::kFull;
+  if (table.entries.size() >= table.options.max_keys) {
+    return BarUnseen(table, key, revision, now) ? KeyAnswer::kFull
+                                                : KeyAnswer::kOverfull;
+  }
   table.entries.emplace(key, KeyEntry{.state = KeyState::kAccepted,
                                       .revision = revision,
                                       .changed = now});
@@ -66,11 +86,10 @@
   Finish(table, key, it->second, KeyState::kDone, now);
   it->second.result_bytes = result_bytes;
   table.result_bytes += result_bytes;
-  table.results.emplace_back(now, key);
+  table.results.emplace(now, key);
   while (table.result_bytes > table.options.max_result_bytes) {
-    const std::string oldest = table.results.front().second;
-    table.results.pop_front();
-    DropResult(table, oldest, &dropped);
+    const std::string oldest = table.results.begin()->second;
+    DropResult(table, oldest, table.entries.at(oldest), &dropped);
   }
   return dropped;
 }
@@ -82,16 +101,17 @@
   Finish(table, key, it->second, KeyState::kBarred, now);
 }
 
+void NoteUnknown(KeyTable& table, const std::string& key,
+                 common::TimePoint now) {
+  const auto it = table.entries.find(key);
+  if (it == table.entries.end()) return;
+  Finish(table, key, it->second, KeyState::kUnknown, now);
+}
+
 bool Bar(KeyTable& table, const std::string& key, std::uint64_t revision,
          common::TimePoint now) {
   const auto it = table.entries.find(key);
-  if (it == table.entries.end()) {
-    // A full table must still keep the promise, so the limit is exceeded.
-    KeyEntry& entry = table.entries[key];
-    entry.revision = revision;
-    Finish(table, key, entry, KeyState::kBarred, now);
-    return true;
-  }
+  if (it == table.entries.end()) return BarUnseen(table, key, revision, now);
   KeyEntry& entry = it->second;
   const bool not_begun =
       entry.state == KeyState::kAccepted || entry.state == KeyState::kBarred;
@@ -104,20 +124,16 @@
 std::vector<std::string> Expire(KeyTable& table, common::TimePoint now) {
   std::vector<std::string> dropped;
   while (!table.results.empty() &&
-         now - table.results.front().first >= table.options.keep_results) {
-    const std::string key = table.results.front().second;
-    table.results.pop_front();
-    DropResult(table, key, &dropped);
+         now - table.results.begin()->first >= table.options.keep_results) {
+    const std::string key = table.results.begin()->second;
+    DropResult(table, key, table.entries.at(key), &dropped);
   }
   while (!table.finished.empty() &&
-         now - table.finished.front().first >= table.options.keep_keys) {
-    const auto& [time, key] = table.finished.front();
-    const auto it = table.entries.find(key);
-    // A key that changed later has a later entry in the queue.
-    if (it != table.entries.end() && it->second.changed == time) {
-      table.entries.erase(it);
-    }
-    table.finished.pop_front();
+         now - table.finished.begin()->first >= table.options.keep_keys) {
+    const std::string key = table.finished.begin()->second;
+    DropResult(table, key, table.entries.at(key), &dropped);
+    table.finished.erase(table.finished.begin());
+    table.entries.erase(key);
   }
   return dropped;
 }
--- a/Source/Core/Admission/KeyTable.h
+++ b/Source/Core/Admission/KeyTable.h
@@ -3,7 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -16,6 +16,9 @@
 
 struct KeyTableOptions {
   std::size_t max_keys = 500'000;
+  // Keys beyond `max_keys` that may be remembered as barred, so that a full
+  // table can still vouch for "not run".
+  std::size_t max_extra_barred = 50'000;
   std::size_t max_result_bytes = 32'000'000;
   common::Duration keep_keys = std::chrono::hours(24);
   common::Duration keep_results = std::chrono::minutes(10);
@@ -23,7 +26,8 @@
 
 enum class KeyState : std::uint8_t {
   kAccepted,   // waits here; not sent to the upstream
-  kBegun,      // was sent to the upstream, outcome open or unknown
+  kBegun,      // was sent to the upstream and still runs
+  kUnknown,    // was sent to the upstream, which never told the outcome
   kDone,       // ran, the result is kept
   kForgotten,  // ran, the result is no longer kept
   kBarred,     // did not run; attempts up to `revision` never will
@@ -39,9 +43,10 @@
 struct KeyTable {
   KeyTableOptions options;
   std::unordered_map<std::string, KeyEntry> entries;
-  // Finished keys in the order of their end, for expiry.
-  std::deque<std::pair<common::TimePoint, std::string>> finished;
-  std::deque<std::pair<common::TimePoint, std::string>> results;
+  // Each finished key once, by the time of its last change.
+  std::set<std::pair<common::TimePoint, std::string>> finished;
+  // Each kept result once, by the time of its end.
+  std::set<std::pair<common::TimePoint, std::string>> results;
   std::size_t result_bytes = 0;
 };
 
@@ -50,8 +55,10 @@
   kInProgress,  // accepted or begun
   kReplay,
   kForgotten,
+  kUnknown,  // may have run
   kBarred,
-  kFull,  // no room to remember another key
+  kFull,      // no room for another key; it is barred now
+  kOverfull,  // no room even to bar the key, so nothing vouches for it
 };
 
 // Whether an attempt with this key may run; on kRun the key is accepted.
@@ -69,7 +76,13 @@
 // An accepted key that was not begun, or was refused by the upstream.
 void NoteNotRun(KeyTable& table, const std::string& key, common::TimePoint now);
 
-// Bars a key; returns false if it has begun.
+// The outcome of a begun key will never be known: it was cancelled, timed out
+// or its connection broke.
+void NoteUnknown(KeyTable& table, const std::string& key,
+                 common::TimePoint now);
+
+// Bars a key; returns false if it has begun, or if there is no room to remember
+// the bar.
 bool Bar(KeyTable& table, const std::string& key, std::uint64_t revision,
          common::TimePoint now);
 
--- a/Source/Core/Admission/Offers.cpp
+++ b/Source/Core/Admission/Offers.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <optional>
 
 #include "Admission/Internal.h"
 
@@ -22,6 +21,7 @@
   attempt.id = event.id;
   attempt.router = event.router;
   attempt.workspace = event.workspace;
+  attempt.kind = event.kind;
   attempt.fingerprint = event.fingerprint;
   attempt.suspect =
       event.suspect || suspects::IsSuspect(context.state.suspects,
@@ -77,6 +77,11 @@
               .reason = Reason::kKeyInProgress,
               .retry_after = std::chrono::seconds(1)});
       return true;
+    case KeyAnswer::kUnknown:
+      Reject(
+          context, attempt,
+          {.verdict = Verdict::kMayHaveRun, .reason = Reason::kUpstreamFailed});
+      return true;
     case KeyAnswer::kForgotten:
       Reject(context, attempt,
              {.verdict = Verdict::kMayHaveRun,
@@ -87,6 +92,12 @@
              {.verdict = Verdict::kNotRun, .reason = Reason::kBarred});
       return true;
     case KeyAnswer::kFull:
+      Reject(context, attempt,
+             {.verdict = Verdict::kNotRun,
+              .reason = Reason::kKeyTableFull,
+              .retry_after = std::chrono::seconds(60)});
+      return true;
+    case KeyAnswer::kOverfull:
       // Without room for the key, nothing can vouch for "not run" later.
       Reject(context, attempt,
              {.verdict = Verdict::kMayHaveRun,
@@ -97,9 +108,17 @@
   return true;
 }
 
-// Reason not to run a request here and now; the key stays barred.
-std::optional<Reason> CheckOffer(Context& context, const Attempt& attempt) {
-  AgentState& state = context.state;
+bool IsKnown(const AgentState& state, const AttemptId& id) {
+  return state.running.contains(id) ||
+         std::any_of(state.waiting.begin(), state.waiting.end(),
+                     [&](const Attempt& it) { return it.id == id; });
+}
+
+}  // namespace
+
+std::optional<Reason> CheckOffer(const Context& context,
+                                 const Attempt& attempt) {
+  const AgentState& state = context.state;
   if (state.config.version == common::ConfigVersion::kNone) {
     return Reason::kNoConfiguration;
   }
@@ -117,34 +136,33 @@
   return std::nullopt;
 }
 
-}  // namespace
-
 void OnOffer(Context& context, const RequestOffered& event) {
   AgentState& state = context.state;
   Attempt attempt = MakeAttempt(context, event);
+  if (IsKnown(state, event.id)) {
+    return Reject(
+        context, attempt,
+        {.verdict = Verdict::kMayHaveRun, .reason = Reason::kKeyInProgress});
+  }
   const bool granted = TakeGrant(context, event, attempt);
   const bool keyed = !attempt.key.empty();
   if (keyed && AnswerFromKeyTable(context, event, attempt)) {
-    Charge(context, attempt.workspace, -attempt.charged);
-    return FillSlots(context);
+    return Charge(context, attempt.workspace, -attempt.charged);
   }
   if (const auto reason = CheckOffer(context, attempt)) {
-    RejectNotRun(context, attempt, *reason);
-    return FillSlots(context);
+    return RejectNotRun(context, attempt, *reason);
+  }
+  if (granted && MayStartGranted(state)) {
+    return Start(context, std::move(attempt), "granted");
   }
-  const int running = static_cast<int>(state.running.size());
-  const bool has_slot =
-      running + static_cast<int>(state.held_slots.size()) < Slots(state.limit);
-  if (granted && has_slot) return Start(context, attempt, "granted");
   if (!granted && FreeSlots(state) > 0 && !HasDemand(state)) {
-    return Start(context, attempt, "free_slot");
+    return Start(context, std::move(attempt), "free_slot");
   }
-  const bool may_wait =
-      granted || (keyed && static_cast<int>(state.waiting.size()) <
-                               state.options.max_waiting);
+  const int bound =
+      static_cast<int>(state.waiting.size()) - state.waiting_granted;
+  const bool may_wait = granted || (keyed && bound < state.options.max_waiting);
   if (!may_wait) return RejectNotRun(context, attempt, Reason::kBusy);
-  NoteDemand(context, attempt.workspace);
-  state.waiting.push_back(attempt);
+  AddWaiting(context, std::move(attempt));
 }
 
 void OnWithdrawn(Context& context, const OfferWithdrawn& event) {
@@ -153,20 +171,16 @@
       std::find_if(state.waiting.begin(), state.waiting.end(),
                    [&](const Attempt& it) { return it.id == event.id; });
   if (waiting != state.waiting.end()) {
-    Charge(context, waiting->workspace, -waiting->charged);
-    if (!waiting->key.empty()) {
-      NoteNotRun(state.keys, waiting->key, context.now);
-    }
-    state.waiting.erase(waiting);
-    return FillSlots(context);
+    const Attempt attempt = TakeWaiting(context, waiting);
+    Charge(context, attempt.workspace, -attempt.charged);
+    if (!attempt.key.empty()) NoteNotRun(state.keys, attempt.key, context.now);
+    return;
   }
   const auto running = state.running.find(event.id);
   if (running == state.running.end()) return;
   // A non-idempotent request runs on, so that its result can be replayed.
   if (!running->second.key.empty()) return;
-  context.Do(CancelUpstream{.id = event.id});
-  state.running.erase(running);
-  FillSlots(context);
+  CancelRunning(context, event.id);
 }
 
 void OnRevoke(Context& context, const common::ProcessName& router,
@@ -182,10 +196,10 @@
         std::find_if(state.waiting.begin(), state.waiting.end(),
                      [&](const Attempt& it) { return it.key == key; });
     if (waiting != state.waiting.end()) {
-      Reject(context, *waiting,
+      const Attempt attempt = TakeWaiting(context, waiting);
+      Charge(context, attempt.workspace, -attempt.charged);
+      Reject(context, attempt,
              {.verdict = Verdict::kNotRun, .reason = Reason::kBarred});
-      Charge(context, waiting->workspace, -waiting->charged);
-      state.waiting.erase(waiting);
     }
   }
   context.Do(SendMessage{.to = router,
@@ -193,6 +207,13 @@
                              .request = revoke.request, .begun = begun}});
 }
 
+void ReturnWaiting(Context& context, Reason reason) {
+  AgentState& state = context.state;
+  while (!state.waiting.empty()) {
+    RejectNotRun(context, TakeWaiting(context, state.waiting.begin()), reason);
+  }
+}
+
 void RejectNotRun(Context& context, const Attempt& attempt, Reason reason) {
   if (!attempt.key.empty()) {
     NoteNotRun(context.state.keys, attempt.key, context.now);
--- a/Source/Core/Admission/Slots.cpp
+++ b/Source/Core/Admission/Slots.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <limits>
-#include <optional>
 
 #include "Admission/Internal.h"
 
@@ -8,174 +7,114 @@
 
 namespace {
 
-using fairness::ShareKey;
-
-ShareKey KeyOf(const AgentState& state, const common::WorkspaceName& name) {
-  return {state.options.pool, name};
-}
-
 int Committed(const AgentState& state) {
   return static_cast<int>(state.running.size() + state.grants.size() +
                           state.held_slots.size()) +
-         static_cast<int>(
-             std::count_if(state.waiting.begin(), state.waiting.end(),
-                           [](const Attempt& it) { return it.granted; }));
-}
-
-double WeightOf(const AgentState& state, const common::WorkspaceName& name) {
-  const auto it = state.config.workspaces.find(name);
-  return it == state.config.workspaces.end() ? 1 : it->second.weight;
-}
-
-std::vector<ShareKey> Backlogged(const AgentState& state,
-                                 common::TimePoint now) {
-  std::vector<ShareKey> keys;
-  for (const auto& [workspace, last] : state.last_demand) {
-    if (now - last < state.options.idle_after) {
-      keys.push_back(KeyOf(state, workspace));
-    }
-  }
-  return keys;
+         state.waiting_granted;
 }
 
-// What one share (weight 1) earns in `period`, by the measured rate.
-double ShareOver(const AgentState& state, common::TimePoint now,
-                 common::Duration period) {
-  double weights = 0;
-  for (const ShareKey& key : Backlogged(state, now)) {
-    weights += WeightOf(state, key.second);
-  }
-  if (weights == 0) return 0;
-  return state.rate.cost_per_second / weights *
-         std::chrono::duration<double>(period).count();
-}
-
-// A workspace that could use a slot, with the router that waits longest.
-struct Candidate {
-  common::WorkspaceName workspace;
-  common::ProcessName router;  // empty: waits at this agent
-  std::chrono::milliseconds oldest_wait{-1};
-  common::Urgency urgency = common::Urgency::kBackground;
-};
-
-std::map<common::WorkspaceName, Candidate> Candidates(const AgentState& state) {
-  std::map<common::WorkspaceName, Candidate> candidates;
-  for (const auto& [router, peer] : state.routers) {
-    for (const auto& [workspace, demand] : peer.demand) {
-      if (demand.waiting <= 0) continue;
-      Candidate& it = candidates[workspace];
-      it.workspace = workspace;
-      it.urgency = std::max(it.urgency, demand.urgency);
-      if (demand.oldest_wait <= it.oldest_wait) continue;
-      it.oldest_wait = demand.oldest_wait;
-      it.router = router;
-    }
-  }
-  for (const Attempt& attempt : state.waiting) {
-    if (attempt.granted) continue;
-    Candidate& it = candidates[attempt.workspace];
-    it.workspace = attempt.workspace;
-    it.router = common::ProcessName();
-    it.urgency = common::Urgency::kUrgent;
-  }
-  return candidates;
-}
-
-std::optional<Candidate> ChooseCandidate(Context& context) {
-  const AgentState& state = context.state;
-  const double boost =
-      ShareOver(state, context.now, state.options.urgency_boost);
-  std::optional<Candidate> best;
+// The workspace with the smallest virtual time among those that wait. Urgent
+// demand goes ahead by the boost.
+const WorkspaceBacklog* ChooseWorkspace(const AgentState& state) {
+  const double boost = ShareOver(state, state.options.urgency_boost);
+  const WorkspaceBacklog* best = nullptr;
   double best_time = std::numeric_limits<double>::infinity();
-  for (auto& [workspace, candidate] : Candidates(state)) {
-    double time = fairness::VirtualTime(state.ledger, KeyOf(state, workspace));
-    if (candidate.urgency == common::Urgency::kUrgent) time -= boost;
+  for (const auto& [workspace, backlog] : state.backlog) {
+    double time = fairness::VirtualTime(state.ledger, backlog.key);
+    if (backlog.urgent > 0) time -= boost;
     if (time >= best_time) continue;
     best_time = time;
-    best = candidate;
+    best = &backlog;
   }
   return best;
 }
 
-void SendGrant(Context& context, const Candidate& candidate) {
+void SendGrant(Context& context, const common::WorkspaceName& workspace,
+               const common::ProcessName& router) {
   AgentState& state = context.state;
   const auto id = static_cast<common::GrantId>(state.next_grant++);
-  const common::Cost cost = EstimateCost(state, candidate.workspace);
-  Charge(context, candidate.workspace, cost);
-  state.grants[id] = {.router = candidate.router,
-                      .workspace = candidate.workspace,
+  const common::Cost cost = EstimateCost(state, workspace, {});
+  Charge(context, workspace, cost);
+  state.grants[id] = {.router = router,
+                      .workspace = workspace,
                       .expires = context.now + state.options.grant_timeout,
                       .charged = cost};
-  protocol::WorkspaceDemand& demand =
-      state.routers[candidate.router].demand[candidate.workspace];
+  RouterPeer& peer = state.routers.at(router);
+  RouterDemand demand = peer.demand.at(workspace);
   --demand.waiting;
-  context.Do(
-      SendMessage{.to = candidate.router,
-                  .body = protocol::Grant{.grant = id,
-                                          .pool = state.options.pool,
-                                          .workspace = candidate.workspace}});
-}
-
-// Starts the oldest waiting attempt that matches; returns false if none does.
-template <typename Predicate>
-bool StartWaiting(Context& context, std::string_view cause,
-                  Predicate&& matches) {
-  auto& waiting = context.state.waiting;
-  const auto it = std::find_if(waiting.begin(), waiting.end(), matches);
-  if (it == waiting.end()) return false;
-  Attempt attempt = std::move(*it);
-  waiting.erase(it);
+  SetDemand(context, router, peer, workspace, demand);
+  context.Do(SendMessage{
+      .to = router,
+      .body = protocol::Grant{
+          .grant = id, .pool = state.options.pool, .workspace = workspace}});
+}
+
+// Starts a waiting attempt unless it must not run any more.
+void StartWaiting(Context& context, WaitingIterator it,
+                  std::string_view cause) {
+  Attempt attempt = TakeWaiting(context, it);
+  attempt.suspect =
+      attempt.suspect || suspects::IsSuspect(context.state.suspects,
+                                             attempt.fingerprint, context.now);
+  if (const auto reason = CheckOffer(context, attempt)) {
+    return RejectNotRun(context, attempt, *reason);
+  }
   Start(context, std::move(attempt), cause);
-  return true;
 }
 
-}  // namespace
+void StartGranted(Context& context) {
+  AgentState& state = context.state;
+  while (state.waiting_granted > 0 && MayStartGranted(state)) {
+    const auto it =
+        std::find_if(state.waiting.begin(), state.waiting.end(),
+                     [](const Attempt& attempt) { return attempt.granted; });
+    StartWaiting(context, it, "granted");
+  }
+}
 
-int FreeSlots(const AgentState& state) {
-  return Slots(state.limit) - Committed(state);
+void StartBound(Context& context, const common::WorkspaceName& workspace) {
+  auto& waiting = context.state.waiting;
+  const auto it =
+      std::find_if(waiting.begin(), waiting.end(), [&](const Attempt& attempt) {
+        return !attempt.granted && attempt.workspace == workspace;
+      });
+  StartWaiting(context, it, "bound");
 }
 
-bool HasDemand(const AgentState& state) { return !Candidates(state).empty(); }
+void TakeBack(Context& context, common::GrantId id) {
+  const auto it = context.state.grants.find(id);
+  Charge(context, it->second.workspace, -it->second.charged);
+  context.state.grants.erase(it);
+}
 
-common::Cost EstimateCost(const AgentState& state,
-                          const common::WorkspaceName& workspace) {
-  const auto it = state.estimates.find(workspace);
-  return it == state.estimates.end() ? 1 : std::max(1.0, it->second);
+template <typename Predicate>
+void TakeBackIf(Context& context, Predicate&& matches) {
+  std::vector<common::GrantId> ids;
+  for (const auto& [id, grant] : context.state.grants) {
+    if (matches(grant)) ids.push_back(id);
+  }
+  for (const common::GrantId id : ids) TakeBack(context, id);
 }
 
-void Charge(Context& context, const common::WorkspaceName& workspace,
-            common::Cost cost) {
-  if (cost == 0) return;
-  AgentState& state = context.state;
-  fairness::AddService(state.ledger, state.options.incarnation,
-                       KeyOf(state, workspace), cost);
+}  // namespace
+
+int FreeSlots(const AgentState& state) {
+  return Slots(state.limit) - Committed(state);
 }
 
-void NoteDemand(Context& context, const common::WorkspaceName& workspace) {
-  AgentState& state = context.state;
-  auto [last, first] =
-      state.last_demand.try_emplace(workspace, common::TimePoint());
-  const bool back = context.now - last->second >= state.options.idle_after;
-  if (back) {
-    double level = std::numeric_limits<double>::infinity();
-    for (const ShareKey& key : Backlogged(state, context.now)) {
-      level = std::min(level, fairness::VirtualTime(state.ledger, key));
-    }
-    const bool others = level != std::numeric_limits<double>::infinity();
-    if (others) {
-      fairness::LiftTo(state.ledger, KeyOf(state, workspace), level);
-    }
-  }
-  last->second = context.now;
+bool MayStartGranted(const AgentState& state) {
+  return static_cast<int>(state.running.size() + state.held_slots.size()) <
+         Slots(state.limit);
 }
 
 void Start(Context& context, Attempt attempt, std::string_view cause) {
   AgentState& state = context.state;
-  if (attempt.charged == 0) {
-    attempt.charged = EstimateCost(state, attempt.workspace);
-    Charge(context, attempt.workspace, attempt.charged);
-  }
+  const common::Cost estimate =
+      EstimateCost(state, attempt.workspace, attempt.kind);
+  Charge(context, attempt.workspace, estimate - attempt.charged);
+  attempt.charged = estimate;
   attempt.started = context.now;
+  attempt.progressed = context.now;
   if (!attempt.key.empty()) NoteBegun(state.keys, attempt.key);
   Log(context, attempt, "start", cause);
   context.Do(StartUpstream{.id = attempt.id, .keep_result_as = attempt.key});
@@ -185,75 +124,48 @@
 
 void FillSlots(Context& context) {
   AgentState& state = context.state;
-  if (state.draining || !state.upstream_up) return;
-  const auto slot_is_free = [&] {
-    return static_cast<int>(state.running.size() + state.held_slots.size()) <
-           Slots(state.limit);
-  };
-  while (slot_is_free() &&
-         StartWaiting(context, "granted",
-                      [](const Attempt& it) { return it.granted; })) {
-  }
+  const bool configured = Slots(state.limit) > 0;
+  if (!configured || state.draining || !state.upstream_up) return;
+  StartGranted(context);
   const int prefetch = state.limit.pool.prefetch;
-  while (FreeSlots(state) + prefetch > 0) {
-    const auto candidate = ChooseCandidate(context);
-    if (!candidate) return;
-    NoteDemand(context, candidate->workspace);
-    if (!candidate->router.empty()) {
-      SendGrant(context, *candidate);
+  while (HasDemand(state) && FreeSlots(state) + prefetch > 0) {
+    const WorkspaceBacklog& chosen = *ChooseWorkspace(state);
+    // Copied, because a grant may end the backlog.
+    const common::WorkspaceName workspace = chosen.key.second;
+    if (chosen.bound > 0) {
+      if (FreeSlots(state) <= 0) return;
+      StartBound(context, workspace);
       continue;
     }
-    if (FreeSlots(state) <= 0) return;
-    StartWaiting(context, "bound", [&](const Attempt& it) {
-      return !it.granted && it.workspace == candidate->workspace;
-    });
+    const common::ProcessName router = chosen.routers.begin()->second;
+    SendGrant(context, workspace, router);
   }
 }
 
 void ExpireGrants(Context& context) {
-  auto& grants = context.state.grants;
-  std::vector<common::GrantId> expired;
-  for (const auto& [id, grant] : grants) {
-    if (grant.expires <= context.now) expired.push_back(id);
-  }
-  for (const common::GrantId id : expired) OnGrantReturn(context, id);
+  TakeBackIf(context, [&](const OutstandingGrant& it) {
+    return it.expires <= context.now;
+  });
 }
 
-void OnGrantReturn(Context& context, common::GrantId grant) {
-  const auto it = context.state.grants.find(grant);
-  if (it == context.state.grants.end()) return;
-  Charge(context, it->second.workspace, -it->second.charged);
-  context.state.grants.erase(it);
-  FillSlots(context);
-}
-
-void MeasureShareRate(Context& context) {
+void OnGrantReturn(Context& context, const common::ProcessName& router,
+                   common::GrantId grant) {
   AgentState& state = context.state;
-  constexpr common::Duration kInterval = std::chrono::seconds(1);
-  const common::Duration elapsed = context.now - state.rate.measured;
-  if (elapsed < kInterval) return;
-  common::Cost total = 0;
-  for (const auto& [key, share] : state.ledger.shares) {
-    if (key.first == state.options.pool) total += share.net_service;
+  const auto it = state.grants.find(grant);
+  if (it == state.grants.end() || it->second.router != router) return;
+  // The router has nothing left for the workspace; another grant would only be
+  // returned as well.
+  const auto peer = state.routers.find(router);
+  if (peer != state.routers.end()) {
+    SetDemand(context, router, peer->second, it->second.workspace, {});
   }
-  const double seconds = std::chrono::duration<double>(elapsed).count();
-  const double rate = (total - state.rate.service_then) / seconds;
-  const bool first = state.rate.measured == common::TimePoint();
-  state.rate.cost_per_second =
-      first ? 0 : 0.5 * state.rate.cost_per_second + 0.5 * std::max(0.0, rate);
-  state.rate.service_then = total;
-  state.rate.measured = context.now;
+  TakeBack(context, grant);
+}
 
-  const std::vector<ShareKey> backlogged = Backlogged(state, context.now);
-  double least_weight = std::numeric_limits<double>::infinity();
-  for (const ShareKey& key : backlogged) {
-    least_weight = std::min(least_weight, WeightOf(state, key.second));
-  }
-  if (backlogged.size() < 2) return;
-  const double cap =
-      2 * (state.rate.largest_request / least_weight +
-           ShareOver(state, context.now, state.options.debt_cap));
-  fairness::CapSpread(state.ledger, backlogged, cap);
+void DropGrants(Context& context, const common::ProcessName& router) {
+  TakeBackIf(context, [&](const OutstandingGrant& it) {
+    return router.empty() || it.router == router;
+  });
 }
 
 }  // namespace shallotbeam::admission::internal
--- a/Source/Core/Admission/Upstreams.cpp
+++ b/Source/Core/Admission/Upstreams.cpp
@@ -11,7 +11,6 @@
 using common::Verdict;
 
 constexpr double kPromptTokensPerCost = 8;
-constexpr double kEstimateSmoothing = 0.2;
 
 bool IsModelPool(const AgentState& state) {
   const auto it = state.config.pools.find(state.options.pool);
@@ -28,12 +27,8 @@
 
 // Replaces the estimate that was charged by the true cost.
 void Settle(Context& context, Attempt& attempt, common::Cost cost) {
-  AgentState& state = context.state;
   Charge(context, attempt.workspace, cost - attempt.charged);
   attempt.charged = cost;
-  state.rate.largest_request = std::max(state.rate.largest_request, cost);
-  auto [it, first] = state.estimates.try_emplace(attempt.workspace, cost);
-  if (!first) it->second += kEstimateSmoothing * (cost - it->second);
 }
 
 void HoldSlot(Context& context) {
@@ -54,6 +49,9 @@
   }
   SendToRouters(context,
                 suspects::NoteCrash(state.suspects, in_flight, context.now));
+  // Routers can place these elsewhere.
+  ReturnWaiting(context, Reason::kUpstreamFailed);
+  DropGrants(context, {});
   SendHeartbeats(context);
 }
 
@@ -62,13 +60,48 @@
   context.Do(RejectOffer{.id = attempt.id, .refusal = refusal});
 }
 
+common::Cost CostOfEnd(const AgentState& state, const Attempt& attempt,
+                       const UpstreamEnded& event) {
+  const std::uint64_t generated =
+      std::max(event.generated_tokens, attempt.generated_tokens);
+  switch (event.outcome) {
+    case UpstreamOutcome::kRefused:
+    case UpstreamOutcome::kNotSent:
+      return 0;
+    default:
+      return CostOf(state, event.prompt_tokens, generated);
+  }
+}
+
+void Measure(AgentState& state, const Attempt& attempt,
+             const UpstreamEnded& event, int running, common::TimePoint now) {
+  if (!IsModelPool(state)) {
+    return NotePace(state.limit, {.running = running, .begun = attempt.started},
+                    0, now);
+  }
+  // A response that came in one piece tells neither its time to first token nor
+  // the time between tokens.
+  const common::Duration streamed = now - attempt.started - attempt.first_token;
+  if (attempt.first_token == common::Duration() ||
+      streamed * 10 < attempt.first_token) {
+    return;
+  }
+  const std::uint64_t tokens =
+      event.generated_tokens -
+      std::min(event.generated_tokens, attempt.generated_tokens);
+  NotePace(state.limit, {.running = running, .begun = attempt.progressed},
+           tokens, now);
+  NoteFirstToken(state.limit, {.running = running, .begun = attempt.started},
+                 event.prompt_tokens, attempt.first_token, now);
+}
+
 void OnCompleted(Context& context, const Attempt& attempt,
                  const UpstreamEnded& event, int running) {
   AgentState& state = context.state;
   state.error_backoff = state.options.first_error_backoff;
   suspects::NoteCompleted(state.suspects, attempt.fingerprint);
-  NoteSuccess(state.limit, running, context.now - attempt.started,
-              event.generated_tokens, context.now);
+  NoteCost(state, attempt, attempt.charged);
+  Measure(state, attempt, event, running, context.now);
   if (attempt.key.empty()) return;
   for (const std::string& key :
        NoteDone(state.keys, attempt.key, event.response_bytes, context.now)) {
@@ -85,13 +118,46 @@
 
 }  // namespace
 
-void OnProgress(Context& context, const UpstreamProgressed& event) {
+void OnResponded(Context& context, const UpstreamResponded& event) {
   const auto it = context.state.running.find(event.id);
   if (it == context.state.running.end()) return;
-  const common::Cost cost = CostOf(context.state, 0, event.generated_tokens);
-  if (cost <= it->second.charged) return;
-  Charge(context, it->second.workspace, cost - it->second.charged);
-  it->second.charged = cost;
+  // The time of a plain call includes the wait for its first byte.
+  if (!IsModelPool(context.state)) return;
+  Attempt& attempt = it->second;
+  attempt.first_token = context.now - attempt.started;
+  attempt.progressed = context.now;
+}
+
+void OnProgress(Context& context, const UpstreamProgressed& event) {
+  AgentState& state = context.state;
+  const auto it = state.running.find(event.id);
+  if (it == state.running.end()) return;
+  Attempt& attempt = it->second;
+  if (event.generated_tokens <= attempt.generated_tokens) return;
+  const std::uint64_t tokens =
+      event.generated_tokens - attempt.generated_tokens;
+  if (attempt.first_token > common::Duration()) {
+    NotePace(state.limit,
+             {.running = static_cast<int>(state.running.size()),
+              .begun = attempt.progressed},
+             tokens, context.now);
+  }
+  attempt.progressed = context.now;
+  attempt.generated_tokens = event.generated_tokens;
+  const common::Cost cost = CostOf(state, 0, event.generated_tokens);
+  if (cost <= attempt.charged) return;
+  Charge(context, attempt.workspace, cost - attempt.charged);
+  attempt.charged = cost;
+}
+
+void CancelRunning(Context& context, const AttemptId& id) {
+  AgentState& state = context.state;
+  const auto it = state.running.find(id);
+  Attempt attempt = std::move(it->second);
+  state.running.erase(it);
+  // What was generated is paid for, the rest of the estimate is returned.
+  Settle(context, attempt, CostOf(state, 0, attempt.generated_tokens));
+  context.Do(CancelUpstream{.id = id});
 }
 
 void OnUpstreamEnded(Context& context, const UpstreamEnded& event) {
@@ -102,35 +168,33 @@
   if (event.outcome == UpstreamOutcome::kBroken) NoteUpstreamLost(context);
   Attempt attempt = std::move(it->second);
   state.running.erase(it);
-  const bool ran = event.outcome == UpstreamOutcome::kCompleted;
-  Settle(context, attempt,
-         ran ? CostOf(state, event.prompt_tokens, event.generated_tokens)
-             : CostOf(state, 0, event.generated_tokens));
+  Settle(context, attempt, CostOfEnd(state, attempt, event));
   const Refusal failed{.verdict = Verdict::kMayHaveRun,
                        .reason = Reason::kUpstreamFailed};
   switch (event.outcome) {
     case UpstreamOutcome::kCompleted:
-      OnCompleted(context, attempt, event, running);
-      break;
+      return OnCompleted(context, attempt, event, running);
     case UpstreamOutcome::kRefused:
-      NoteOverload(state.limit, context.now);
+      NoteOverload(state.limit, running, context.now);
       HoldSlot(context);
-      OnNotRun(context, attempt, Reason::kUpstreamRefused);
-      break;
+      return OnNotRun(context, attempt, Reason::kUpstreamRefused);
     case UpstreamOutcome::kNotSent:
       NoteUpstreamLost(context);
-      OnNotRun(context, attempt, Reason::kUpstreamFailed);
-      break;
+      return OnNotRun(context, attempt, Reason::kUpstreamFailed);
+    case UpstreamOutcome::kTimedOut:
+      // An upstream that accepts requests and never answers looks like this.
+      if (attempt.generated_tokens == 0) {
+        NoteOverload(state.limit, running, context.now);
+      }
+      [[fallthrough]];
     case UpstreamOutcome::kError:
       HoldSlot(context);
-      Answer(context, attempt, failed);
       break;
     case UpstreamOutcome::kBroken:
-    case UpstreamOutcome::kTimedOut:
-      Answer(context, attempt, failed);
       break;
   }
-  FillSlots(context);
+  if (!attempt.key.empty()) NoteUnknown(state.keys, attempt.key, context.now);
+  Answer(context, attempt, failed);
 }
 
 void OnProbed(Context& context, const UpstreamProbed& event) {
@@ -138,7 +202,6 @@
   if (state.upstream_up || !event.reachable) return;
   state.upstream_up = true;
   SendHeartbeats(context);
-  FillSlots(context);
 }
 
 void ProbeIfDown(Context& context) {
@@ -158,8 +221,9 @@
       ++it;
       continue;
     }
-    RejectNotRun(context, *it, Reason::kDeadlineExceeded);
-    it = state.waiting.erase(it);
+    const auto late = it++;
+    RejectNotRun(context, TakeWaiting(context, late),
+                 Reason::kDeadlineExceeded);
   }
   std::vector<AttemptId> late;
   for (const auto& [id, attempt] : state.running) {
--- a/Source/Core/Protocol/Messages.h
+++ b/Source/Core/Protocol/Messages.h
@@ -42,7 +42,7 @@
   AgentState state = AgentState::kServing;
   int free_slots = 0;
   int slot_limit = 0;
-  // Routers only.
+  // Routers that the sender has heard from within the last second.
   std::vector<PeerAddress> known_routers;
 };
 
--- a/Source/Core/Runtime/PeerLink.cpp
+++ b/Source/Core/Runtime/PeerLink.cpp
@@ -34,6 +34,10 @@
   if (const auto* heartbeat =
           std::get_if<protocol::Heartbeat>(&envelope->body)) {
     addresses_[envelope->sender] = heartbeat->control;
+    // A process itself knows its address best.
+    for (const protocol::PeerAddress& it : heartbeat->known_routers) {
+      addresses_.try_emplace(it.process, it.control);
+    }
   }
   return *std::move(envelope);
 }
--- /dev/null
+++ b/Source/UnitTests/Core/Admission/KeyTableTest.cpp
@@ -0,0 +1,192 @@
+#include <map>
+#include <set>
+
+#include "Admission/KeyTable.h"
+#include "AgentHarness.h"
+#include "Property.h"
+
+namespace shallotbeam::admission {
+
+namespace {
+
+const common::TimePoint kStart{seconds(1000)};
+
+protocol::Revoke RevokeOf(const std::string& key, std::uint64_t revision) {
+  return {.bound_to = kSelf,
+          .workspace = Workspace("a"),
+          .key = key,
+          .binding_revision = revision};
+}
+
+// Records starts and "not run" answers per key and fails on a contradiction.
+struct AtMostOnce {
+  std::map<AttemptId, std::pair<std::string, std::uint64_t>> offers;
+  std::map<std::string, int> open_starts;
+  std::map<std::string, std::uint64_t> barred;  // highest revision
+
+  void NotRun(const std::string& key, std::uint64_t revision) {
+    auto [it, first] = barred.try_emplace(key, revision);
+    if (!first) it->second = std::max(it->second, revision);
+    // It ran, or may run, so the answer would be a lie.
+    RC_ASSERT(open_starts[key] == 0);
+  }
+
+  void Check(const AgentActions& actions) {
+    for (const AgentAction& it : actions) {
+      if (const auto* start = std::get_if<StartUpstream>(&it)) {
+        const auto& [key, revision] = offers.at(start->id);
+        RC_ASSERT(++open_starts[key] == 1);
+        const auto bar = barred.find(key);
+        RC_ASSERT(bar == barred.end() || revision > bar->second);
+      }
+      const auto* reject = std::get_if<RejectOffer>(&it);
+      if (reject != nullptr &&
+          reject->refusal.verdict == common::Verdict::kNotRun) {
+        NotRun(offers.at(reject->id).first, offers.at(reject->id).second);
+      }
+    }
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(KeyTableTest)
+
+// Guards against a key that runs twice, and against "not run" answers that a
+// later start at the same or a lower revision turns into a lie.
+BOOST_AUTO_TEST_CASE(NoKeyRunsTwice) {
+  test::CheckProperty("at most one start per key", [] {
+    Harness agent(Pool(2));
+    agent.state.keys.options = {.max_keys = 3, .max_extra_barred = 2};
+    AtMostOnce check;
+    std::uint64_t sequence = 0;
+    const auto steps = *rc::gen::container<std::vector<int>>(
+        200, rc::gen::inRange(0, 1 << 20));
+    for (const int step : steps) {
+      const std::string key = std::to_string((step >> 4) % 6);
+      const auto revision = static_cast<std::uint64_t>((step >> 8) % 4);
+      const int kind = step % 16;
+      agent.now += milliseconds(10);
+      if (kind < 8) {
+        const RequestOffered offer = agent.Offer(++sequence, key, revision);
+        check.offers[offer.id] = {key, revision};
+        agent.Give(offer);
+      } else if (kind < 10) {
+        agent.Message(kRouter, kRouterRun, RevokeOf(key, revision));
+        for (const AgentAction& it : agent.actions) {
+          const auto* sent = std::get_if<SendMessage>(&it);
+          if (sent == nullptr) continue;
+          const auto* reply = std::get_if<protocol::RevokeReply>(&sent->body);
+          if (reply != nullptr && !reply->begun) check.NotRun(key, revision);
+        }
+      } else if (kind == 10) {
+        agent.Give(Tick{});
+        agent.Give(UpstreamProbed{.reachable = true});
+      } else if (kind == 11) {
+        if (sequence > 0) {
+          agent.Give(OfferWithdrawn{.id = Id(1 + (step >> 4) % sequence)});
+        }
+      } else if (!agent.state.running.empty()) {
+        const auto outcome = static_cast<UpstreamOutcome>((step >> 4) % 6);
+        const AttemptId id = agent.state.running.begin()->first;
+        const bool not_run = outcome == UpstreamOutcome::kRefused ||
+                             outcome == UpstreamOutcome::kNotSent;
+        if (not_run) check.open_starts[check.offers.at(id).first] = 0;
+        agent.Give(
+            UpstreamEnded{.id = id, .outcome = outcome, .response_bytes = 10});
+      }
+      check.Check(std::exchange(agent.actions, {}));
+      RC_ASSERT(agent.state.keys.entries.size() <= 5);
+    }
+  });
+}
+
+// Guards against a key whose outcome is unknown (timed out at the deadline,
+// connection broken, 5xx) being run again, and against remembering it forever.
+BOOST_AUTO_TEST_CASE(UnknownOutcomeStaysMayHaveRun) {
+  for (const UpstreamOutcome outcome :
+       {UpstreamOutcome::kBroken, UpstreamOutcome::kTimedOut,
+        UpstreamOutcome::kError}) {
+    Harness agent(Pool(1));
+    agent.Give(agent.Offer(1, "k", 3));
+    agent.End(1, outcome);
+    agent.Give(UpstreamProbed{.reachable = true});
+    agent.Advance(seconds(3));
+    agent.Take<StartUpstream>();
+    agent.Give(agent.Offer(2, "k", 9));
+    BOOST_CHECK(agent.state.running.empty());
+    const auto rejects = agent.Take<RejectOffer>();
+    BOOST_REQUIRE_EQUAL(rejects.size(), 1);
+    BOOST_CHECK(rejects[0].refusal.verdict == common::Verdict::kMayHaveRun);
+    agent.Message(kRouter, kRouterRun, RevokeOf("k", 9));
+    BOOST_CHECK(agent.TakeSent<protocol::RevokeReply>().at(0).begun);
+    agent.now += std::chrono::hours(25);
+    agent.Give(Tick{});
+    BOOST_CHECK(agent.state.keys.entries.empty());
+  }
+}
+
+// Guards against a keyed request that passes its deadline staying in progress
+// for good, or being started again.
+BOOST_AUTO_TEST_CASE(KeyedRequestPastItsDeadlineIsCancelled) {
+  Harness agent(Pool(1));
+  agent.Give(agent.Offer(1, "k", 3));
+  agent.Advance(seconds(31));
+  BOOST_CHECK_EQUAL(agent.Take<CancelUpstream>().size(), 1);
+  BOOST_CHECK(agent.state.keys.entries.at("a/k").state == KeyState::kUnknown);
+}
+
+// Guards against memory that grows with every revoke or refusal of one key.
+BOOST_AUTO_TEST_CASE(RepeatedBarsTakeNoMemory) {
+  KeyTable table;
+  for (int i = 0; i < 1000; ++i) {
+    const auto now = kStart + seconds(i);
+    BOOST_CHECK(Bar(table, "k", i, now));
+    BOOST_CHECK(Accept(table, "k", i + 1, now) == KeyAnswer::kRun);
+    NoteNotRun(table, "k", now);
+  }
+  BOOST_CHECK_EQUAL(table.entries.size(), 1);
+  BOOST_CHECK_EQUAL(table.finished.size(), 1);
+}
+
+// Guards against "not run" from a full table that can't remember the key.
+BOOST_AUTO_TEST_CASE(FullTableVouchesOnlyForWhatItRemembers) {
+  KeyTable table{.options = {.max_keys = 1, .max_extra_barred = 1}};
+  BOOST_CHECK(Accept(table, "a", 1, kStart) == KeyAnswer::kRun);
+  BOOST_CHECK(Accept(table, "b", 1, kStart) == KeyAnswer::kFull);
+  BOOST_CHECK(Accept(table, "b", 1, kStart) == KeyAnswer::kBarred);
+  BOOST_CHECK(Accept(table, "c", 1, kStart) == KeyAnswer::kOverfull);
+  BOOST_CHECK(!Bar(table, "c", 1, kStart));
+  BOOST_CHECK(Bar(table, "b", 1, kStart));
+}
+
+// Guards against kept results over the size limit or past their time, and
+// against a key that runs again after its result was dropped.
+BOOST_AUTO_TEST_CASE(ResultsAreBoundedAndExpire) {
+  KeyTable table{.options = {.max_result_bytes = 100}};
+  for (const std::string key : {"a", "b", "c"}) {
+    Accept(table, key, 1, kStart);
+    NoteBegun(table, key);
+  }
+  BOOST_CHECK(NoteDone(table, "a", 60, kStart).empty());
+  const std::vector<std::string> dropped =
+      NoteDone(table, "b", 60, kStart + seconds(1));
+  BOOST_CHECK(dropped == std::vector<std::string>{"a"});
+  BOOST_CHECK(Accept(table, "a", 9, kStart) == KeyAnswer::kForgotten);
+  BOOST_CHECK(Accept(table, "b", 1, kStart) == KeyAnswer::kReplay);
+  // Larger than the limit on its own.
+  BOOST_CHECK_EQUAL(NoteDone(table, "c", 101, kStart + seconds(2)).size(), 2);
+  BOOST_CHECK_EQUAL(table.result_bytes, 0);
+
+  Accept(table, "d", 1, kStart);
+  NoteDone(table, "d", 10, kStart + seconds(3));
+  BOOST_CHECK_EQUAL(Expire(table, kStart + std::chrono::minutes(11)).size(), 1);
+  BOOST_CHECK_EQUAL(table.result_bytes, 0);
+  BOOST_CHECK_EQUAL(table.entries.size(), 4);
+  Expire(table, kStart + std::chrono::hours(25));
+  BOOST_CHECK(table.entries.empty() && table.finished.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shallotbeam::admission
