--- /dev/null
+++ b/Source/UnitTests/Core/Admission/LifecycleTest.cpp
@@ -0,0 +1,111 @@
+#include "AgentHarness.h"
+#include "Property.h"
+
+namespace shallotbeam::admission {
+
+BOOST_AUTO_TEST_SUITE(LifecycleTest)
+
+// Guards against a drain that interrupts running work, keeps waiting work, ends
+// twice or grants anything.
+BOOST_AUTO_TEST_CASE(DrainFinishesWhatRuns) {
+  Harness agent(Pool(1, 1));
+  agent.Give(agent.Offer(1));
+  agent.Give(agent.Offer(2, "k", 1));
+  agent.Give(DrainRequested{});
+  const auto rejects = agent.Take<RejectOffer>();
+  BOOST_REQUIRE_EQUAL(rejects.size(), 1);
+  BOOST_CHECK(rejects[0].refusal.verdict == common::Verdict::kNotRun);
+  agent.Demand(1, "a", 3);
+  agent.Give(agent.Offer(3));
+  agent.Advance(seconds(1));
+  BOOST_CHECK_EQUAL(agent.state.running.size(), 1);
+  BOOST_CHECK(agent.state.grants.empty());
+  BOOST_CHECK(agent.Take<DrainCompleted>().empty());
+  agent.End(1, UpstreamOutcome::kCompleted, 5);
+  agent.Advance(seconds(1));
+  agent.Give(DrainRequested{});
+  agent.Advance(seconds(70));
+  BOOST_CHECK_EQUAL(agent.Take<DrainCompleted>().size(), 1);
+}
+
+// Guards against a drain that never ends.
+BOOST_AUTO_TEST_CASE(DrainEndsAtItsDeadline) {
+  Harness agent(Pool(1));
+  RequestOffered offer = agent.Offer(1);
+  offer.time_left = seconds(1000);
+  agent.Give(offer);
+  agent.Give(DrainRequested{});
+  agent.Advance(seconds(59));
+  BOOST_CHECK(agent.Take<DrainCompleted>().empty());
+  agent.Advance(seconds(2));
+  BOOST_CHECK_EQUAL(agent.Take<DrainCompleted>().size(), 1);
+}
+
+// Guards against a draining agent that can no longer speak for its keys.
+BOOST_AUTO_TEST_CASE(DrainingAgentReplaysAndAnswersRevokes) {
+  Harness agent(Pool(2));
+  agent.Give(agent.Offer(1, "done", 1));
+  agent.End(1, UpstreamOutcome::kCompleted, 5);
+  agent.Give(agent.Offer(2));
+  agent.Give(DrainRequested{});
+  agent.Take<RejectOffer>();
+  agent.Give(agent.Offer(3, "done", 1));
+  BOOST_CHECK_EQUAL(agent.Take<ReplayResult>().size(), 1);
+  for (const std::string key : {"done", "new"}) {
+    agent.Message(kRouter, kRouterRun,
+                  protocol::Revoke{.bound_to = kSelf,
+                                   .workspace = Workspace("a"),
+                                   .key = key,
+                                   .binding_revision = 1});
+    BOOST_CHECK_EQUAL(agent.TakeSent<protocol::RevokeReply>().at(0).begun,
+                      key == "done");
+  }
+}
+
+// Guards against routers that never learn of each other or of this agent.
+BOOST_AUTO_TEST_CASE(RoutersLearntFromHeartbeatsAreAnnounced) {
+  Harness agent(Pool(1));
+  const common::ProcessName other("other");
+  const protocol::PeerAddress address{.process = other,
+                                      .control = {.address = "o", .port = 2}};
+  const auto sent_to = [&](const common::ProcessName& name) {
+    int n = 0;
+    for (const SendMessage& it : agent.Take<SendMessage>()) {
+      if (it.to != name) continue;
+      if (std::holds_alternative<protocol::Heartbeat>(it.body)) ++n;
+    }
+    return n;
+  };
+  agent.Heartbeat(kRouter, kRouterRun, {address});
+  agent.Advance(seconds(1));
+  BOOST_CHECK_GE(sent_to(other), 3);
+  agent.Heartbeat(other, static_cast<common::Incarnation>(9));
+  agent.Advance(milliseconds(500));
+  const auto known = agent.TakeSent<protocol::Heartbeat>().back().known_routers;
+  BOOST_CHECK_EQUAL(known.size(), 2);
+  // Silent for over a second: no longer named, and forgotten after a while.
+  agent.Advance(milliseconds(1500));
+  BOOST_CHECK_EQUAL(
+      agent.TakeSent<protocol::Heartbeat>().back().known_routers.size(), 1);
+  agent.Advance(seconds(10));
+  agent.actions.clear();
+  agent.Advance(seconds(1));
+  BOOST_CHECK_EQUAL(sent_to(other), 0);
+}
+
+// Guards against a router that gets no state because its demand arrived before
+// its first heartbeat.
+BOOST_AUTO_TEST_CASE(JoiningRouterGetsTheSums) {
+  Harness agent(Pool(1));
+  agent.Give(agent.Offer(1));
+  const common::ProcessName other("other");
+  const auto run = static_cast<common::Incarnation>(9);
+  agent.Demand(1, "a", 1, other, run);
+  agent.actions.clear();
+  agent.Heartbeat(other, run);
+  BOOST_CHECK_EQUAL(agent.TakeSent<protocol::Shares>().size(), 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shallotbeam::admission
--- /dev/null
+++ b/Source/UnitTests/Core/Admission/UpstreamFaultsTest.cpp
@@ -0,0 +1,169 @@
+#include "AgentHarness.h"
+#include "Property.h"
+
+namespace shallotbeam::admission {
+
+namespace {
+
+protocol::Heartbeat LastHeartbeat(Harness& agent) {
+  const auto sent = agent.TakeSent<protocol::Heartbeat>();
+  return sent.empty() ? protocol::Heartbeat() : sent.back();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(UpstreamFaultsTest)
+
+// Guards against an upstream that fails fast attracting all work: in 10 s of
+// demand that never ends, a slot with a back-off of 50 ms doubling to 2 s
+// starts at most 12 requests.
+BOOST_AUTO_TEST_CASE(FastErrorsAreThrottled) {
+  Harness agent(Pool(1));
+  std::uint64_t sequence = 0;
+  for (int i = 0; i < 500; ++i) {
+    agent.Give(agent.Offer(++sequence));
+    if (!agent.state.running.empty()) {
+      agent.End(sequence, UpstreamOutcome::kError);
+    }
+    agent.Advance(milliseconds(20));
+  }
+  BOOST_CHECK_LE(agent.Take<StartUpstream>().size(), 12);
+}
+
+// Guards against heartbeats that offer slots which are held or not served.
+BOOST_AUTO_TEST_CASE(HeartbeatsReportOnlyUsableSlots) {
+  Harness agent(Pool(2));
+  for (const std::uint64_t it : {1, 2}) agent.Give(agent.Offer(it));
+  agent.End(1, UpstreamOutcome::kError);
+  agent.End(2, UpstreamOutcome::kError);
+  BOOST_CHECK_EQUAL(agent.state.held_slots.size(), 2);
+  agent.now += milliseconds(10);
+  agent.state.heartbeat_sent = {};
+  agent.Give(Tick{});
+  BOOST_CHECK_EQUAL(LastHeartbeat(agent).free_slots, 0);
+  agent.Advance(seconds(1));
+  BOOST_CHECK_EQUAL(LastHeartbeat(agent).free_slots, 2);
+  // Demand of others goes first.
+  agent.state.held_slots.insert(agent.now + seconds(9));
+  agent.state.held_slots.insert(agent.now + seconds(9));
+  agent.Demand(1, "a", 1);
+  agent.state.heartbeat_sent = {};
+  agent.Give(Tick{});
+  BOOST_CHECK_EQUAL(LastHeartbeat(agent).free_slots, 0);
+}
+
+// Guards against requests that wait out their deadline behind a dead upstream.
+BOOST_AUTO_TEST_CASE(WaitingRequestsAreReturnedWhenTheUpstreamBreaks) {
+  Harness agent(Pool(1, 1));
+  agent.Give(agent.Offer(1));
+  agent.Give(agent.Offer(2, "k", 4));
+  agent.Demand(1, "b", 3);
+  agent.Take<StartUpstream>();
+  agent.End(1, UpstreamOutcome::kBroken);
+  BOOST_CHECK(agent.state.waiting.empty() && agent.state.grants.empty());
+  AgentActions actions = agent.actions;
+  const auto rejects = agent.Take<RejectOffer>();
+  BOOST_REQUIRE_EQUAL(rejects.size(), 2);
+  BOOST_CHECK(rejects[0].id == Id(2));
+  BOOST_CHECK(rejects[0].refusal.verdict == common::Verdict::kNotRun);
+  BOOST_CHECK(rejects[1].refusal.verdict == common::Verdict::kMayHaveRun);
+  agent.actions = std::move(actions);
+  const protocol::Heartbeat heartbeat = LastHeartbeat(agent);
+  BOOST_CHECK(heartbeat.state == protocol::AgentState::kUpstreamDown);
+  BOOST_CHECK_EQUAL(heartbeat.free_slots, 0);
+  // The key was barred at its revision and may run elsewhere over it.
+  agent.Give(UpstreamProbed{.reachable = true});
+  BOOST_CHECK(agent.state.keys.entries.at("a/k").state == KeyState::kBarred);
+  BOOST_CHECK_EQUAL(agent.state.keys.entries.at("a/k").revision, 4);
+}
+
+// Guards against an upstream that accepts and never answers keeping its slots:
+// each attempt ends at its deadline and the limit falls to the least.
+BOOST_AUTO_TEST_CASE(SilentUpstreamLosesItsSlots) {
+  Harness agent({.initial_slots = 8, .min_slots = 1, .max_slots = 8});
+  std::uint64_t sequence = 0;
+  std::size_t late = 0;
+  for (int i = 0; i < 3000; ++i) {
+    RequestOffered offer = agent.Offer(++sequence);
+    offer.time_left = seconds(1);
+    agent.Give(offer);
+    agent.Advance(milliseconds(20));
+    late += agent.Take<CancelUpstream>().size();
+  }
+  BOOST_CHECK_GT(late, 0);
+  BOOST_CHECK_EQUAL(Slots(agent.state.limit), 1);
+}
+
+// Guards against two requests suspected of crashing upstreams running together
+// because one of them waited when it was checked.
+BOOST_AUTO_TEST_CASE(WaitingSuspectsAreIsolated) {
+  Harness agent(Pool(2));
+  for (const std::uint64_t it : {1, 2}) agent.Give(agent.Offer(it));
+  for (const std::uint64_t it : {3, 4}) {
+    RequestOffered offer = agent.Offer(it, std::to_string(it), 1);
+    offer.suspect = true;
+    agent.Give(offer);
+  }
+  agent.End(1, UpstreamOutcome::kCompleted, 1);
+  agent.End(2, UpstreamOutcome::kCompleted, 1);
+  int suspects = 0;
+  for (const auto& [id, it] : agent.state.running) suspects += it.suspect;
+  BOOST_CHECK_EQUAL(suspects, 1);
+}
+
+// Guards against estimates that fall towards zero because of requests that did
+// not run to their end.
+BOOST_AUTO_TEST_CASE(OnlyCompletedRequestsTeachTheEstimate) {
+  Harness agent(Pool(1));
+  agent.Give(agent.Offer(1));
+  agent.End(1, UpstreamOutcome::kCompleted, 400);
+  for (const auto outcome : {UpstreamOutcome::kRefused, UpstreamOutcome::kError,
+                             UpstreamOutcome::kTimedOut}) {
+    agent.Advance(seconds(3));
+    agent.Give(agent.Offer(2));
+    agent.End(2, outcome);
+  }
+  agent.Advance(seconds(3));
+  agent.Give(agent.Offer(3));
+  BOOST_REQUIRE_EQUAL(agent.state.running.size(), 1);
+  BOOST_CHECK_EQUAL(agent.state.running.begin()->second.charged, 400);
+}
+
+// Guards against a cancelled or late request that keeps the charge of its
+// estimate, or is refunded the tokens it was given.
+BOOST_AUTO_TEST_CASE(CancelledRequestPaysWhatWasGenerated) {
+  for (const bool withdrawn : {true, false}) {
+    Harness agent(Pool(1));
+    agent.Give(agent.Offer(1));
+    agent.End(1, UpstreamOutcome::kCompleted, 400);
+    agent.Give(agent.Offer(2));
+    BOOST_CHECK_EQUAL(agent.ServiceOf("a"), 800);
+    agent.Give(UpstreamProgressed{.id = Id(2), .generated_tokens = 90});
+    if (withdrawn) {
+      agent.Give(OfferWithdrawn{.id = Id(2)});
+    } else {
+      agent.Advance(seconds(31));
+    }
+    BOOST_CHECK_EQUAL(agent.ServiceOf("a"), 490);
+    BOOST_CHECK(agent.state.running.empty());
+  }
+}
+
+// Guards against the time to first token being ignored or mixed into the pace.
+BOOST_AUTO_TEST_CASE(FirstTokenIsMeasuredApart) {
+  Harness agent(Pool(1));
+  for (std::uint64_t i = 0; i < 8; ++i) {
+    agent.Give(agent.Offer(i));
+    agent.now += seconds(1);
+    agent.Give(UpstreamResponded{.id = Id(i)});
+    agent.now += milliseconds(640);
+    agent.Give(UpstreamProgressed{.id = Id(i), .generated_tokens = 32});
+    agent.End(i, UpstreamOutcome::kCompleted, 32);
+  }
+  BOOST_CHECK_CLOSE(agent.state.limit.pace.best, 0.02, 0.1);
+  BOOST_CHECK_CLOSE(agent.state.limit.first_token.at(0).best, 1.0, 0.1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shallotbeam::admission
