Report every configuration mistake with its file

Cause: the check named the folder instead of the file, ignored unknown keys, references, slot order, deadlines and credentials, and files that disagreed about the type of a section ended the program by an exception. The merge remembers the file of each value. Published documents may hold unknown keys, so that a process of an earlier release accepts a newer document.

--- a/Source/Core/Config/Document.cpp
+++ b/Source/Core/Config/Document.cpp
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iterator>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
+#include "Config/Folder.h"
+#include "Config/Keys.h"
 #include "absl/status/status.h"
 #include "absl/strings/str_cat.h"
 
@@ -14,195 +16,155 @@
 
 namespace {
 
+using internal::MergedDocument;
 using nlohmann::json;
 
-// Collects typed values out of one JSON object and notes what is wrong.
-class ObjectReader {
- public:
-  ObjectReader(const json& object, std::string file, std::string path,
-               std::vector<Problem>* problems)
-      : object_(object),
-        file_(std::move(file)),
-        path_(std::move(path)),
-        problems_(problems) {}
+enum class UnknownKeys : std::uint8_t { kReport, kIgnore };
 
-  void Read(const std::string& key, int low, int high, int* value) {
-    const json* it = Find(key);
-    if (it == nullptr) return;
-    const bool fits = it->is_number_integer() &&
-                      it->get<std::int64_t>() >= low &&
-                      it->get<std::int64_t>() <= high;
-    if (!fits) {
-      Report(key, absl::StrCat("an integer from ", low, " to ", high), *it);
-      return;
-    }
-    *value = it->get<int>();
+// Reads the sections of a merged document and checks them.
+class FleetReader {
+ public:
+  FleetReader(const MergedDocument& merged, UnknownKeys unknown_keys,
+              std::vector<Problem>* problems)
+      : merged_(merged), unknown_keys_(unknown_keys), problems_(problems) {}
+
+  FleetConfig Read() {
+    FleetConfig config;
+    ReportUnknown(merged_.root, "", {"pools", "kinds", "workspaces"});
+    ReadSection("pools", PoolKeys(), &config.pools);
+    ReadSection("kinds", KindKeys(), &config.kinds);
+    ReadSection("workspaces", WorkspaceKeys(), &config.workspaces);
+    CheckPools(config);
+    CheckKinds(config);
+    CheckWorkspaces(config);
+    return config;
   }
 
-  void Read(const std::string& key, std::size_t* value) {
-    const json* it = Find(key);
-    if (it == nullptr) return;
-    if (!it->is_number_unsigned() || it->get<std::uint64_t>() == 0) {
-      Report(key, "a number of bytes above 0", *it);
-      return;
+ private:
+  void Report(const std::string& path, std::string expected,
+              std::string found) {
+    problems_->push_back({.file = internal::FileOf(merged_, path),
+                          .path = path,
+                          .expected = std::move(expected),
+                          .found = std::move(found)});
+  }
+
+  void ReportUnknown(const json& object, const std::string& path,
+                     const std::vector<std::string>& known) {
+    if (unknown_keys_ == UnknownKeys::kIgnore) return;
+    for (const auto& [key, value] : object.items()) {
+      if (std::find(known.begin(), known.end(), key) != known.end()) continue;
+      const std::string nearest = NearestName(key, known);
+      Report(path.empty() ? key : absl::StrCat(path, ".", key),
+             nearest.empty() ? "a known key"
+                             : absl::StrCat("the known key \"", nearest, "\""),
+             absl::StrCat("the unknown key \"", key, "\""));
     }
-    *value = it->get<std::size_t>();
   }
 
-  void Read(const std::string& key, std::chrono::milliseconds* value) {
-    const json* it = Find(key);
-    if (it == nullptr) return;
-    if (!it->is_number_unsigned() || it->get<std::uint64_t>() == 0) {
-      Report(key, "a number of milliseconds above 0", *it);
-      return;
+  template <typename Name, typename Entry>
+  void ReadSection(const std::string& section, const Keys<Entry>& keys,
+                   std::map<Name, Entry>* entries) {
+    const auto it = merged_.root.find(section);
+    if (it == merged_.root.end()) {
+      return Report(section, "an object with at least one entry", "nothing");
+    }
+    if (!it->is_object() || it->empty()) {
+      return Report(section, "an object with at least one entry", it->dump());
+    }
+    for (const auto& [name, object] : it->items()) {
+      const std::string path = absl::StrCat(section, ".", name);
+      // An entry with mistakes is still defined, so that references to it are
+      // not reported as well.
+      Entry& entry = (*entries)[Name(name)];
+      if (name.empty()) Report(path, "a name", "an empty key");
+      if (!object.is_object()) {
+        Report(path, "an object", object.dump());
+        continue;
+      }
+      ReadEntry(object, path, keys, &entry);
     }
-    *value = std::chrono::milliseconds(it->get<std::int64_t>());
   }
 
-  void Read(const std::string& key, double* value) {
-    const json* it = Find(key);
-    if (it == nullptr) return;
-    if (!it->is_number() || it->get<double>() <= 0) {
-      Report(key, "a number above 0", *it);
-      return;
+  template <typename Entry>
+  void ReadEntry(const json& object, const std::string& path,
+                 const Keys<Entry>& keys, Entry* entry) {
+    std::vector<std::string> known;
+    for (const Key<Entry>& key : keys) {
+      known.push_back(key.name);
+      const auto it = object.find(key.name);
+      const std::string key_path = absl::StrCat(path, ".", key.name);
+      if (it == object.end()) {
+        if (key.required) Report(key_path, key.expected, "nothing");
+        continue;
+      }
+      if (!key.read(*it, *entry)) Report(key_path, key.expected, it->dump());
     }
-    *value = it->get<double>();
+    ReportUnknown(object, path, known);
   }
 
-  void Read(const std::string& key, bool* value) {
-    const json* it = Find(key);
-    if (it == nullptr) return;
-    if (!it->is_boolean()) {
-      Report(key, "true or false", *it);
-      return;
+  void CheckPools(const FleetConfig& config) {
+    for (const auto& [name, pool] : config.pools) {
+      const std::string path = absl::StrCat("pools.", name.value);
+      if (pool.min_slots > pool.initial_slots) {
+        Report(absl::StrCat(path, ".min_slots"),
+               absl::StrCat("at most initial_slots, ", pool.initial_slots),
+               absl::StrCat(pool.min_slots));
+      }
+      if (pool.initial_slots > pool.max_slots) {
+        Report(absl::StrCat(path, ".initial_slots"),
+               absl::StrCat("at most max_slots, ", pool.max_slots),
+               absl::StrCat(pool.initial_slots));
+      }
     }
-    *value = it->get<bool>();
   }
 
-  void Read(const std::string& key, std::string* value) {
-    const json* it = Find(key);
-    if (it == nullptr) return;
-    if (!it->is_string()) {
-      Report(key, "a string", *it);
-      return;
+  void CheckKinds(const FleetConfig& config) {
+    std::vector<std::string> pools;
+    for (const auto& [name, pool] : config.pools) pools.push_back(name.value);
+    for (const auto& [name, kind] : config.kinds) {
+      const std::string path = absl::StrCat("kinds.", name.value);
+      if (!kind.pool.empty() && config.pools.count(kind.pool) == 0) {
+        ReportUnknownName(absl::StrCat(path, ".pool"), "pool", kind.pool.value,
+                          pools);
+      }
+      if (kind.default_deadline > kind.max_deadline) {
+        Report(absl::StrCat(path, ".default_deadline_ms"),
+               absl::StrCat("at most max_deadline_ms, ",
+                            kind.max_deadline.count()),
+               absl::StrCat(kind.default_deadline.count()));
+      }
     }
-    *value = it->get<std::string>();
   }
 
-  const json* Find(const std::string& key) {
-    const auto it = object_.find(key);
-    return it == object_.end() ? nullptr : &*it;
+  void CheckWorkspaces(const FleetConfig& config) {
+    std::vector<std::string> kinds;
+    for (const auto& [name, kind] : config.kinds) kinds.push_back(name.value);
+    for (const auto& [name, workspace] : config.workspaces) {
+      for (const common::KindName& kind : workspace.kinds) {
+        if (config.kinds.count(kind) != 0) continue;
+        ReportUnknownName(absl::StrCat("workspaces.", name.value, ".kinds"),
+                          "kind", kind.value, kinds);
+      }
+    }
   }
 
-  void Report(const std::string& key, std::string expected, const json& found) {
-    problems_->push_back({.file = file_,
-                          .path = absl::StrCat(path_, ".", key),
-                          .expected = std::move(expected),
-                          .found = found.dump()});
+  void ReportUnknownName(const std::string& path, const std::string& what,
+                         const std::string& name,
+                         const std::vector<std::string>& known) {
+    const std::string nearest = NearestName(name, known);
+    Report(path,
+           nearest.empty()
+               ? absl::StrCat("a known ", what)
+               : absl::StrCat("a known ", what, " such as \"", nearest, "\""),
+           absl::StrCat("\"", name, "\""));
   }
 
- private:
-  const json& object_;
-  std::string file_;
-  std::string path_;
+  const MergedDocument& merged_;
+  UnknownKeys unknown_keys_;
   std::vector<Problem>* problems_;
 };
 
-PoolConfig ReadPool(ObjectReader reader) {
-  PoolConfig pool;
-  std::string type = "model";
-  reader.Read("type", &type);
-  if (type != "model" && type != "plain") {
-    reader.Report("type", "\"model\" or \"plain\"", type);
-  }
-  pool.type = type == "plain" ? PoolType::kPlain : PoolType::kModel;
-  reader.Read("initial_slots", 1, 100'000, &pool.initial_slots);
-  reader.Read("min_slots", 1, 100'000, &pool.min_slots);
-  reader.Read("max_slots", 1, 100'000, &pool.max_slots);
-  reader.Read("prefetch", 0, 1000, &pool.prefetch);
-  return pool;
-}
-
-KindConfig ReadKind(ObjectReader reader) {
-  KindConfig kind;
-  reader.Read("pool", &kind.pool.value);
-  std::string urgency = "normal";
-  reader.Read("urgency", &urgency);
-  if (urgency == "urgent") {
-    kind.urgency = common::Urgency::kUrgent;
-  } else if (urgency == "background") {
-    kind.urgency = common::Urgency::kBackground;
-  } else if (urgency != "normal") {
-    reader.Report("urgency", "\"urgent\", \"normal\" or \"background\"",
-                  urgency);
-  }
-  reader.Read("idempotent", &kind.idempotent);
-  reader.Read("upstream_path", &kind.upstream_path);
-  reader.Read("default_deadline_ms", &kind.default_deadline);
-  reader.Read("max_deadline_ms", &kind.max_deadline);
-  reader.Read("max_body_bytes", &kind.max_body_bytes);
-  reader.Read("max_queued", 1, 1'000'000, &kind.max_queued);
-  reader.Read("max_queued_bytes", &kind.max_queued_bytes);
-  return kind;
-}
-
-WorkspaceConfig ReadWorkspace(ObjectReader reader) {
-  WorkspaceConfig workspace;
-  reader.Read("weight", &workspace.weight);
-  reader.Read("credential_sha256", &workspace.credential_sha256);
-  const json* kinds = reader.Find("kinds");
-  if (kinds == nullptr) return workspace;
-  if (!kinds->is_array()) {
-    reader.Report("kinds", "a list of kinds", *kinds);
-    return workspace;
-  }
-  for (const json& it : *kinds) {
-    if (!it.is_string()) {
-      reader.Report("kinds", "a list of names", it);
-      continue;
-    }
-    workspace.kinds.emplace(it.get<std::string>());
-  }
-  return workspace;
-}
-
-FleetConfig ReadFleet(const json& root, const std::string& file,
-                      std::vector<Problem>* problems) {
-  FleetConfig config;
-  const auto read_section = [&](const char* section, auto&& read_entry) {
-    const auto it = root.find(section);
-    if (it == root.end() || !it->is_object()) {
-      problems->push_back({.file = file,
-                           .path = section,
-                           .expected = "an object",
-                           .found = it == root.end() ? "nothing" : it->dump()});
-      return;
-    }
-    for (const auto& [name, entry] : it->items()) {
-      const std::string path = absl::StrCat(section, ".", name);
-      if (!entry.is_object()) {
-        problems->push_back({.file = file,
-                             .path = path,
-                             .expected = "an object",
-                             .found = entry.dump()});
-        continue;
-      }
-      read_entry(name, ObjectReader(entry, file, path, problems));
-    }
-  };
-  read_section("pools", [&](const std::string& name, ObjectReader reader) {
-    config.pools[common::PoolName(name)] = ReadPool(std::move(reader));
-  });
-  read_section("kinds", [&](const std::string& name, ObjectReader reader) {
-    config.kinds[common::KindName(name)] = ReadKind(std::move(reader));
-  });
-  read_section("workspaces", [&](const std::string& name, ObjectReader reader) {
-    config.workspaces[common::WorkspaceName(name)] =
-        ReadWorkspace(std::move(reader));
-  });
-  return config;
-}
-
 }  // namespace
 
 absl::StatusOr<ParsedConfig> ReadFolder(const std::string& folder) {
@@ -214,6 +176,10 @@
       files.push_back(it.path());
     }
   }
+  if (ec) {
+    return absl::NotFoundError(
+        absl::StrCat("folder \"", folder, "\": ", ec.message()));
+  }
   if (files.empty()) {
     return absl::NotFoundError(
         absl::StrCat("no .json or .jsonc file in folder \"", folder, "\""));
@@ -221,33 +187,36 @@
   std::sort(files.begin(), files.end());
 
   ParsedConfig parsed;
-  json merged = json::object();
+  MergedDocument merged;
   for (const auto& file : files) {
+    const std::string name = file.filename().string();
     std::ifstream stream(file);
-    const json content = json::parse(stream, nullptr, /*allow_exceptions=*/
-                                     false, /*ignore_comments=*/true);
-    if (content.is_discarded()) {
-      parsed.problems.push_back({.file = file.filename().string(),
-                                 .path = "",
-                                 .expected = "JSON with comments",
-                                 .found = "a syntax error"});
-      continue;
+    if (!stream) {
+      return absl::NotFoundError(
+          absl::StrCat("file \"", file.string(), "\" can't be read"));
     }
-    merged.update(content, /*merge_objects=*/true);
-  }
-  parsed.config = ReadFleet(merged, folder, &parsed.problems);
-  parsed.document = merged.dump();
+    const std::string text{std::istreambuf_iterator<char>(stream), {}};
+    const json content = internal::ParseFile(text, name, &parsed.problems);
+    if (content.is_null()) continue;
+    internal::Merge(content, name, &merged, &parsed.problems);
+  }
+  parsed.config =
+      FleetReader(merged, UnknownKeys::kReport, &parsed.problems).Read();
+  parsed.document = merged.root.dump();
   return parsed;
 }
 
 absl::StatusOr<FleetConfig> ParseDocument(std::string_view document) {
-  const json root = json::parse(document.begin(), document.end(), nullptr,
-                                /*allow_exceptions=*/false);
-  if (root.is_discarded() || !root.is_object()) {
+  MergedDocument merged;
+  merged.root = json::parse(document.begin(), document.end(), nullptr,
+                            /*allow_exceptions=*/false);
+  if (merged.root.is_discarded() || !merged.root.is_object()) {
     return absl::InvalidArgumentError("configuration document is not JSON");
   }
+  merged.file_of_path[""] = "document";
   std::vector<Problem> problems;
-  FleetConfig config = ReadFleet(root, "document", &problems);
+  FleetConfig config =
+      FleetReader(merged, UnknownKeys::kIgnore, &problems).Read();
   if (!problems.empty()) {
     return absl::InvalidArgumentError(ToString(problems.front()));
   }
@@ -255,8 +224,23 @@
 }
 
 std::string ToString(const Problem& problem) {
-  return absl::StrCat(problem.file, ": ", problem.path, ": expected ",
-                      problem.expected, ", found ", problem.found);
+  std::string place = problem.file;
+  if (problem.line > 0) absl::StrAppend(&place, ":", problem.line);
+  if (!problem.path.empty()) absl::StrAppend(&place, ": ", problem.path);
+  return absl::StrCat(place, ": expected ", problem.expected, ", found ",
+                      problem.found);
+}
+
+std::string ToJson(const std::vector<Problem>& problems) {
+  json list = json::array();
+  for (const Problem& it : problems) {
+    list.push_back({{"file", it.file},
+                    {"path", it.path},
+                    {"expected", it.expected},
+                    {"found", it.found}});
+    if (it.line > 0) list.back()["line"] = it.line;
+  }
+  return list.dump(2);
 }
 
 }  // namespace shallotbeam::config
--- a/Source/Core/Config/Document.h
+++ b/Source/Core/Config/Document.h
@@ -12,10 +12,11 @@
 
 // One mistake in a configuration.
 struct Problem {
-  std::string file;
+  std::string file;      // the file in which the value stands
   std::string path;      // key path, for example "kinds.chat.urgency"
   std::string expected;  // what belongs there
   std::string found;     // what stands there
+  int line = 0;          // of a syntax error, else 0
 };
 
 struct ParsedConfig {
@@ -30,11 +31,16 @@
 // are listed in `problems`, all of them.
 absl::StatusOr<ParsedConfig> ReadFolder(const std::string& folder);
 
-// Parses a merged document. Returns kInvalidArgument with the first problem.
+// Parses a merged document or a published value that contains one. Returns
+// kInvalidArgument with the first problem. Unknown keys are ignored: during an
+// upgrade an old process must accept a document that uses a newer key.
 absl::StatusOr<FleetConfig> ParseDocument(std::string_view document);
 
 std::string ToString(const Problem& problem);
 
+// The problems as a JSON list of objects.
+std::string ToJson(const std::vector<Problem>& problems);
+
 }  // namespace shallotbeam::config
 
 #endif  // SHALLOTBEAM_CORE_CONFIG_DOCUMENT_H_
--- /dev/null
+++ b/Source/Core/Config/Keys.cpp
@@ -0,0 +1,298 @@
+#include "Config/Keys.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <numeric>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+
+namespace shallotbeam::config {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t kMaxSlots = 100'000;
+constexpr std::int64_t kMaxPrefetch = 1000;
+constexpr std::int64_t kMaxDeadlineMs = 86'400'000;  // a day
+// The HTTP server of a router reads no larger body.
+constexpr std::int64_t kMaxBodyBytes = 4'000'000;
+constexpr std::int64_t kMaxQueued = 1'000'000;
+constexpr std::int64_t kMaxQueuedBytes = 1'000'000'000;
+constexpr double kMaxWeight = 1'000'000;
+
+template <typename Entry>
+struct Text {
+  std::string name;
+  std::string unit;
+  std::string meaning;
+};
+
+template <typename Number>
+Number FromInteger(std::int64_t value) {
+  return static_cast<Number>(value);
+}
+template <>
+std::chrono::milliseconds FromInteger(std::int64_t value) {
+  return std::chrono::milliseconds(value);
+}
+
+std::int64_t ToInteger(std::chrono::milliseconds value) {
+  return value.count();
+}
+template <typename Number>
+std::int64_t ToInteger(Number value) {
+  return static_cast<std::int64_t>(value);
+}
+
+// Integers, byte counts and milliseconds.
+template <typename Entry, typename Number>
+Key<Entry> Integer(Text<Entry> text, std::int64_t low, std::int64_t high,
+                   Number Entry::*member) {
+  return {
+      .name = std::move(text.name),
+      .expected = absl::StrCat("an integer from ", low, " to ", high),
+      .unit = std::move(text.unit),
+      .meaning = std::move(text.meaning),
+      .read =
+          [low, high, member](const json& value, Entry& entry) {
+            if (!value.is_number_integer()) return false;
+            // Values above the signed range would wrap to negative ones.
+            if (value.is_number_unsigned() &&
+                value.get<std::uint64_t>() > static_cast<std::uint64_t>(high)) {
+              return false;
+            }
+            const auto number = value.get<std::int64_t>();
+            if (number < low || number > high) return false;
+            entry.*member = FromInteger<Number>(number);
+            return true;
+          },
+      .show =
+          [member](const Entry& entry) {
+            return absl::StrCat(ToInteger(entry.*member));
+          }};
+}
+
+// A string that `parse` accepts.
+template <typename Entry>
+Key<Entry> String(Text<Entry> text, std::string expected,
+                  std::function<bool(const std::string&, Entry&)> parse,
+                  std::function<std::string(const Entry&)> show) {
+  return {.name = std::move(text.name),
+          .expected = std::move(expected),
+          .unit = std::move(text.unit),
+          .meaning = std::move(text.meaning),
+          .read =
+              [parse = std::move(parse)](const json& value, Entry& entry) {
+                return value.is_string() &&
+                       parse(value.get_ref<const std::string&>(), entry);
+              },
+          .show = [show = std::move(show)](
+                      const Entry& entry) { return json(show(entry)).dump(); }};
+}
+
+bool ParsePoolType(const std::string& text, PoolConfig& pool) {
+  if (text != "model" && text != "plain") return false;
+  pool.type = text == "model" ? PoolType::kModel : PoolType::kPlain;
+  return true;
+}
+
+constexpr std::string_view kUrgencyNames[] = {"background", "normal", "urgent"};
+
+bool ParseUrgency(const std::string& text, KindConfig& kind) {
+  const auto* it = std::find(std::begin(kUrgencyNames), std::end(kUrgencyNames),
+                             std::string_view(text));
+  if (it == std::end(kUrgencyNames)) return false;
+  kind.urgency = static_cast<common::Urgency>(it - std::begin(kUrgencyNames));
+  return true;
+}
+
+bool ParseCredential(const std::string& text, WorkspaceConfig& workspace) {
+  constexpr std::size_t kSha256Digits = 64;
+  const bool fits =
+      text.size() == kSha256Digits &&
+      std::all_of(text.begin(), text.end(), [](char c) {
+        return absl::ascii_isxdigit(static_cast<unsigned char>(c));
+      });
+  if (fits) workspace.credential_sha256 = absl::AsciiStrToLower(text);
+  return fits;
+}
+
+bool ReadWeight(const json& value, WorkspaceConfig& workspace) {
+  if (!value.is_number()) return false;
+  const double weight = value.get<double>();
+  if (!(weight > 0 && weight <= kMaxWeight)) return false;
+  workspace.weight = weight;
+  return true;
+}
+
+bool ReadKinds(const json& value, WorkspaceConfig& workspace) {
+  if (!value.is_array() || value.empty()) return false;
+  std::set<common::KindName> kinds;
+  for (const json& it : value) {
+    if (!it.is_string()) return false;
+    kinds.emplace(it.get<std::string>());
+  }
+  workspace.kinds = std::move(kinds);
+  return true;
+}
+
+template <typename Entry>
+std::string TableOf(const Keys<Entry>& keys) {
+  std::string table =
+      "| key | expected | default | unit | meaning |\n|---|---|---|---|---|\n";
+  for (const Key<Entry>& it : keys) {
+    const std::string standard =
+        it.required ? "required" : absl::StrCat("`", it.show(Entry()), "`");
+    absl::StrAppend(&table, "| `", it.name, "` | ", it.expected, " | ",
+                    standard, " | ", it.unit, " | ", it.meaning, " |\n");
+  }
+  return table;
+}
+
+std::size_t EditDistance(const std::string& a, const std::string& b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  std::iota(row.begin(), row.end(), 0U);
+  for (std::size_t i = 1; i <= a.size(); ++i) {
+    std::size_t diagonal = row[0];
+    row[0] = i;
+    for (std::size_t j = 1; j <= b.size(); ++j) {
+      const std::size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      diagonal = row[j];
+      row[j] = std::min({row[j] + 1, row[j - 1] + 1, replaced});
+    }
+  }
+  return row.back();
+}
+
+}  // namespace
+
+const Keys<PoolConfig>& PoolKeys() {
+  using Entry = Text<PoolConfig>;
+  static const Keys<PoolConfig> keys = {
+      String<PoolConfig>(
+          Entry{"type", "", "streaming engines or plain services"},
+          "\"model\" or \"plain\"", ParsePoolType,
+          [](const PoolConfig& it) -> std::string {
+            return it.type == PoolType::kModel ? "model" : "plain";
+          }),
+      Integer(Entry{"initial_slots", "requests",
+                    "slots of an upstream before its limit was measured"},
+              1, kMaxSlots, &PoolConfig::initial_slots),
+      Integer(
+          Entry{"min_slots", "requests", "lower bound of the measured limit"},
+          1, kMaxSlots, &PoolConfig::min_slots),
+      Integer(
+          Entry{"max_slots", "requests", "upper bound of the measured limit"},
+          1, kMaxSlots, &PoolConfig::max_slots),
+      Integer(Entry{"prefetch", "requests",
+                    "requests that an agent accepts beyond its slots"},
+              0, kMaxPrefetch, &PoolConfig::prefetch)};
+  return keys;
+}
+
+const Keys<KindConfig>& KindKeys() {
+  using Entry = Text<KindConfig>;
+  static const Keys<KindConfig> keys = [] {
+    Key<KindConfig> pool = String<KindConfig>(
+        Entry{"pool", "", "pool that runs this kind"}, "a name in \"pools\"",
+        [](const std::string& text, KindConfig& kind) {
+          kind.pool = common::PoolName(text);
+          return !text.empty();
+        },
+        [](const KindConfig& it) { return it.pool.value; });
+    pool.required = true;
+    const Key<KindConfig> idempotent = {
+        .name = "idempotent",
+        .expected = "true or false",
+        .meaning = "whether a request may run more than once",
+        .read =
+            [](const json& value, KindConfig& kind) {
+              if (!value.is_boolean()) return false;
+              kind.idempotent = value.get<bool>();
+              return true;
+            },
+        .show =
+            [](const KindConfig& it) { return json(it.idempotent).dump(); }};
+    return Keys<KindConfig>{
+        pool,
+        String<KindConfig>(
+            Entry{"urgency", "", "share within a workspace, 8 : 4 : 1"},
+            R"("urgent", "normal" or "background")", ParseUrgency,
+            [](const KindConfig& it) {
+              return std::string(
+                  kUrgencyNames[static_cast<std::size_t>(it.urgency)]);
+            }),
+        idempotent,
+        String<KindConfig>(
+            Entry{"upstream_path", "", "path of the call at the upstream"},
+            "a path that starts with \"/\"",
+            [](const std::string& text, KindConfig& kind) {
+              kind.upstream_path = text;
+              return !text.empty() && text.front() == '/';
+            },
+            [](const KindConfig& it) { return it.upstream_path; }),
+        Integer(Entry{"default_deadline_ms", "milliseconds",
+                      "deadline of a request that names none"},
+                1, kMaxDeadlineMs, &KindConfig::default_deadline),
+        Integer(Entry{"max_deadline_ms", "milliseconds",
+                      "longest deadline that a caller may ask for"},
+                1, kMaxDeadlineMs, &KindConfig::max_deadline),
+        Integer(Entry{"max_body_bytes", "bytes", "largest request body"}, 1,
+                kMaxBodyBytes, &KindConfig::max_body_bytes),
+        Integer(Entry{"max_queued", "requests",
+                      "queue limit per router, workspace and kind"},
+                1, kMaxQueued, &KindConfig::max_queued),
+        Integer(Entry{"max_queued_bytes", "bytes",
+                      "queue limit per router, workspace and kind"},
+                1, kMaxQueuedBytes, &KindConfig::max_queued_bytes)};
+  }();
+  return keys;
+}
+
+const Keys<WorkspaceConfig>& WorkspaceKeys() {
+  using Entry = Text<WorkspaceConfig>;
+  static const Keys<WorkspaceConfig> keys = {
+      {.name = "weight",
+       .expected = "a number above 0, at most 1000000",
+       .meaning = "share of the capacity relative to other workspaces",
+       .read = ReadWeight,
+       .show =
+           [](const WorkspaceConfig& it) { return json(it.weight).dump(); }},
+      String<WorkspaceConfig>(
+          Entry{"credential_sha256", "",
+                "SHA-256 of the credential; without it any is accepted"},
+          "64 hexadecimal digits", ParseCredential,
+          [](const WorkspaceConfig& it) { return it.credential_sha256; }),
+      {.name = "kinds",
+       .expected = "a list of names in \"kinds\"",
+       .meaning = "kinds that the workspace may use",
+       .required = true,
+       .read = ReadKinds,
+       .show = [](const WorkspaceConfig&) { return std::string("[]"); }}};
+  return keys;
+}
+
+std::string ReferenceTable(std::string_view section) {
+  if (section == "pools") return TableOf(PoolKeys());
+  if (section == "kinds") return TableOf(KindKeys());
+  if (section == "workspaces") return TableOf(WorkspaceKeys());
+  return "";
+}
+
+std::string NearestName(const std::string& name,
+                        const std::vector<std::string>& known) {
+  // Half of the name wrong is no longer a misspelling.
+  std::size_t best = std::max<std::size_t>(name.size() / 2, 1) + 1;
+  std::string nearest;
+  for (const std::string& it : known) {
+    const std::size_t distance = EditDistance(name, it);
+    if (distance >= best) continue;
+    best = distance;
+    nearest = it;
+  }
+  return nearest;
+}
+
+}  // namespace shallotbeam::config
