Read process settings through typed layers

Cause: each main parsed its own options; there was no settings file, the drain deadline could not be set, and errors did not say where the value came from. Change: typed keys with defaults in a package of their own, read from defaults, a settings file (--settings) and the command line; both mains share runtime::RunProgram. A list of log levels with a mistake no longer applies its first part. New keys: region, drain-deadline-ms, hosts, router for routers. Conclusion: errors name layer, key, expected and found.

--- a/Source/Core/Common/Logging.cpp
+++ b/Source/Core/Common/Logging.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdio>
+#include <functional>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -37,18 +38,10 @@
   return -1;
 }
 
-}  // namespace
-
-void SetLogLevel(Subsystem subsystem, LogLevel level) {
-  Levels()[static_cast<std::size_t>(subsystem)] = level;
-}
-
-bool IsLogged(Subsystem subsystem, LogLevel level) {
-  return level >= Levels()[static_cast<std::size_t>(subsystem)].load(
-                      std::memory_order_relaxed);
-}
-
-absl::Status ApplyLogLevels(std::string_view spec) {
+// Calls `apply(subsystem, level)` for each part of a list; subsystem -1 means
+// all.
+absl::Status ReadLogLevels(std::string_view spec,
+                           const std::function<void(int, LogLevel)>& apply) {
   for (absl::string_view part :
        absl::StrSplit(absl::string_view(spec.data(), spec.size()), ',',
                       absl::SkipEmpty())) {
@@ -58,21 +51,44 @@
       return absl::InvalidArgumentError(
           absl::StrCat("unknown log level in \"", part, "\""));
     }
-    if (fields.size() == 1) {
-      for (auto& it : Levels()) it = static_cast<LogLevel>(level);
-      continue;
-    }
-    const int subsystem = IndexOf(kSubsystemNames, fields[0]);
-    if (subsystem < 0) {
+    const int subsystem =
+        fields.size() == 1 ? -1 : IndexOf(kSubsystemNames, fields[0]);
+    if (fields.size() == 2 && subsystem < 0) {
       return absl::InvalidArgumentError(
           absl::StrCat("unknown log subsystem \"", fields[0], "\""));
     }
-    SetLogLevel(static_cast<Subsystem>(subsystem),
-                static_cast<LogLevel>(level));
+    apply(subsystem, static_cast<LogLevel>(level));
   }
   return absl::OkStatus();
 }
 
+}  // namespace
+
+void SetLogLevel(Subsystem subsystem, LogLevel level) {
+  Levels()[static_cast<std::size_t>(subsystem)] = level;
+}
+
+bool IsLogged(Subsystem subsystem, LogLevel level) {
+  return level >= Levels()[static_cast<std::size_t>(subsystem)].load(
+                      std::memory_order_relaxed);
+}
+
+absl::Status CheckLogLevels(std::string_view spec) {
+  return ReadLogLevels(spec, [](int, LogLevel) {});
+}
+
+absl::Status ApplyLogLevels(std::string_view spec) {
+  // A list with a mistake changes nothing.
+  const absl::Status status = CheckLogLevels(spec);
+  if (!status.ok()) return status;
+  return ReadLogLevels(spec, [](int subsystem, LogLevel level) {
+    if (subsystem >= 0) {
+      return SetLogLevel(static_cast<Subsystem>(subsystem), level);
+    }
+    for (auto& it : Levels()) it = level;
+  });
+}
+
 void WriteLogLine(Subsystem subsystem, LogLevel level, std::string_view text) {
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
--- a/Source/Core/Common/Logging.h
+++ b/Source/Core/Common/Logging.h
@@ -28,8 +28,11 @@
 bool IsLogged(Subsystem subsystem, LogLevel level);
 
 // Applies a list such as "info,routing=debug". A level without a subsystem
-// sets all. Fails with kInvalidArgument on an unknown name.
+// sets all. Fails with kInvalidArgument on an unknown name and changes nothing
+// then.
 absl::Status ApplyLogLevels(std::string_view spec);
+// As ApplyLogLevels, without applying.
+absl::Status CheckLogLevels(std::string_view spec);
 
 // Writes one line to standard error: time, level, subsystem, text.
 void WriteLogLine(Subsystem subsystem, LogLevel level, std::string_view text);
--- a/Source/Core/Config/Document.cpp
+++ b/Source/Core/Config/Document.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "Common/NearestName.h"
 #include "Config/Folder.h"
 #include "Config/Keys.h"
 #include "absl/status/status.h"
@@ -16,7 +17,6 @@
 
 namespace {
 
-using internal::MergedDocument;
 using nlohmann::json;
 
 enum class UnknownKeys : std::uint8_t { kReport, kIgnore };
@@ -43,7 +43,7 @@
  private:
   void Report(const std::string& path, std::string expected,
               std::string found) {
-    problems_->push_back({.file = internal::FileOf(merged_, path),
+    problems_->push_back({.file = FileOf(merged_, path),
                           .path = path,
                           .expected = std::move(expected),
                           .found = std::move(found)});
@@ -54,7 +54,7 @@
     if (unknown_keys_ == UnknownKeys::kIgnore) return;
     for (const auto& [key, value] : object.items()) {
       if (std::find(known.begin(), known.end(), key) != known.end()) continue;
-      const std::string nearest = NearestName(key, known);
+      const std::string nearest = common::NearestName(key, known);
       Report(path.empty() ? key : absl::StrCat(path, ".", key),
              nearest.empty() ? "a known key"
                              : absl::StrCat("the known key \"", nearest, "\""),
@@ -152,7 +152,7 @@
   void ReportUnknownName(const std::string& path, const std::string& what,
                          const std::string& name,
                          const std::vector<std::string>& known) {
-    const std::string nearest = NearestName(name, known);
+    const std::string nearest = common::NearestName(name, known);
     Report(path,
            nearest.empty()
                ? absl::StrCat("a known ", what)
@@ -196,9 +196,9 @@
           absl::StrCat("file \"", file.string(), "\" can't be read"));
     }
     const std::string text{std::istreambuf_iterator<char>(stream), {}};
-    const json content = internal::ParseFile(text, name, &parsed.problems);
+    const json content = ParseFile(text, name, &parsed.problems);
     if (content.is_null()) continue;
-    internal::Merge(content, name, &merged, &parsed.problems);
+    Merge(content, name, &merged, &parsed.problems);
   }
   parsed.config =
       FleetReader(merged, UnknownKeys::kReport, &parsed.problems).Read();
--- a/Source/Core/Config/Folder.cpp
+++ b/Source/Core/Config/Folder.cpp
@@ -5,7 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 
-namespace shallotbeam::config::internal {
+namespace shallotbeam::config {
 
 namespace {
 
@@ -116,4 +116,4 @@
   }
 }
 
-}  // namespace shallotbeam::config::internal
+}  // namespace shallotbeam::config
--- a/Source/Core/Config/Folder.h
+++ b/Source/Core/Config/Folder.h
@@ -8,8 +8,8 @@
 
 #include "Config/Document.h"
 
-// Files of a configuration folder; used by Document.cpp only.
-namespace shallotbeam::config::internal {
+// Files of JSON with comments and their merge.
+namespace shallotbeam::config {
 
 // A merged document that knows the file of each value.
 struct MergedDocument {
@@ -29,6 +29,6 @@
 // The file of the value at a path or, if it is absent, of its parent.
 std::string FileOf(const MergedDocument& merged, std::string path);
 
-}  // namespace shallotbeam::config::internal
+}  // namespace shallotbeam::config
 
 #endif  // SHALLOTBEAM_CORE_CONFIG_FOLDER_H_
--- a/Source/Core/Config/Keys.h
+++ b/Source/Core/Config/Keys.h
@@ -38,11 +38,6 @@
 // as a Markdown table. Empty for an unknown section.
 std::string ReferenceTable(std::string_view section);
 
-// The known name with the smallest edit distance to `name`; empty if none is
-// near enough to be a likely misspelling.
-std::string NearestName(const std::string& name,
-                        const std::vector<std::string>& known);
-
 }  // namespace shallotbeam::config
 
 #endif  // SHALLOTBEAM_CORE_CONFIG_KEYS_H_
--- a/Source/Core/Runtime/AgentProcess.cpp
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -96,14 +96,16 @@
       });
   if (!mailbox.ok()) return mailbox.status();
 
-  const admission::AgentOptions options{.name = settings.name,
-                                        .incarnation = incarnation,
-                                        .data_centre = settings.data_centre,
-                                        .pool = settings.pool,
-                                        .upstream = settings.upstream_name,
-                                        .control = settings.control,
-                                        .data = settings.data,
-                                        .seed_routers = settings.routers};
+  const admission::AgentOptions options{
+      .name = settings.name,
+      .incarnation = incarnation,
+      .data_centre = settings.data_centre,
+      .pool = settings.pool,
+      .upstream = settings.upstream_name,
+      .control = settings.control,
+      .data = settings.data,
+      .seed_routers = settings.routers,
+      .drain_deadline = settings.drain_deadline};
   const auto engine = std::make_shared<AgentEngine>(
       options,
       AgentEnvironment{
--- a/Source/Core/Runtime/CommandLine.cpp
+++ b/Source/Core/Runtime/CommandLine.cpp
@@ -1,7 +1,12 @@
 #include "Runtime/CommandLine.h"
 
+#include <fmt/format.h>
+
+#include <algorithm>
 #include <boost/program_options/parsers.hpp>
 
+#include "Common/Logging.h"
+#include "Common/StatusText.h"
 #include "Transport/Http.h"
 #include "absl/status/status.h"
 #include "absl/strings/str_cat.h"
@@ -41,4 +46,30 @@
   return *endpoint;
 }
 
+int RunProgram(const Program& program,
+               const std::vector<std::string>& arguments) {
+  const auto has = [&](const char* option) {
+    return std::find(arguments.begin(), arguments.end(), option) !=
+           arguments.end();
+  };
+  if (has("--help")) {
+    fmt::print("{}", settings::Help(program.name, program.keys));
+    return kExitOk;
+  }
+  if (has("--version")) {
+    fmt::print("{} {}\n", program.name, program.version);
+    return kExitOk;
+  }
+  absl::Status status = settings::Read(program.keys, arguments);
+  if (status.ok()) status = common::ApplyLogLevels(*program.log_levels);
+  if (!status.ok()) {
+    fmt::print(stderr, "{}: {}\n", program.name, common::MessageOf(status));
+    return kExitUsage;
+  }
+  status = program.run();
+  if (status.ok()) return kExitOk;
+  fmt::print(stderr, "{}: {}\n", program.name, common::MessageOf(status));
+  return kExitFailure;
+}
+
 }  // namespace shallotbeam::runtime
--- a/Source/Core/Runtime/CommandLine.h
+++ b/Source/Core/Runtime/CommandLine.h
@@ -3,10 +3,12 @@
 
 #include <boost/program_options/options_description.hpp>
 #include <boost/program_options/variables_map.hpp>
+#include <functional>
 #include <string>
 #include <vector>
 
 #include "Common/Types.h"
+#include "Runtime/ProcessSettings.h"
 #include "absl/status/statusor.h"
 
 namespace shallotbeam::runtime {
@@ -28,6 +30,20 @@
     const boost::program_options::variables_map& values,
     const std::string& name);
 
+// A long-running program.
+struct Program {
+  std::string name;  // as typed, for messages
+  std::string version;
+  settings::Settings keys;
+  const std::string* log_levels;  // applied once the settings are read
+  std::function<absl::Status()> run;
+};
+
+// Handles --help and --version, reads the settings, runs the program and
+// returns its exit code. Errors go to standard error.
+int RunProgram(const Program& program,
+               const std::vector<std::string>& arguments);
+
 }  // namespace shallotbeam::runtime
 
 #endif  // SHALLOTBEAM_CORE_RUNTIME_COMMANDLINE_H_
--- a/Source/Core/Runtime/ProcessSettings.h
+++ b/Source/Core/Runtime/ProcessSettings.h
@@ -1,36 +1,50 @@
 #ifndef SHALLOTBEAM_CORE_RUNTIME_PROCESSSETTINGS_H_
 #define SHALLOTBEAM_CORE_RUNTIME_PROCESSSETTINGS_H_
 
+#include <chrono>
 #include <string>
 #include <vector>
 
 #include "Common/Types.h"
+#include "Settings/Settings.h"
 
 namespace shallotbeam::runtime {
 
-struct RouterSettings {
+// Settings that routers and agents share.
+struct ProcessSettings {
   common::ProcessName name;
   common::DataCentreName data_centre;
-  common::Endpoint callers;  // HTTP for callers
+  common::RegionName region;
   common::Endpoint admin;    // HTTP for health, metrics and status
   common::Endpoint control;  // inbox for control messages
-  common::Endpoint platform;
+  std::vector<common::Endpoint> routers;
   int threads = 2;
+  std::string log_levels = "info";
+  // A drain ends after this time even if requests are still running.
+  std::chrono::milliseconds drain_deadline{60'000};
 };
 
-struct AgentSettings {
-  common::ProcessName name;
-  common::DataCentreName data_centre;
+struct RouterSettings : ProcessSettings {
+  common::Endpoint callers{"127.0.0.1", 8080};  // HTTP for callers
+  common::Endpoint platform{"127.0.0.1", 2379};
+  common::Endpoint hosts;  // the platform's host list; empty: not read
+
+  RouterSettings();
+};
+
+struct AgentSettings : ProcessSettings {
   common::PoolName pool;
-  common::UpstreamName upstream_name;
-  common::Endpoint data;     // HTTP for routers
-  common::Endpoint admin;    // HTTP for health, metrics and status
-  common::Endpoint control;  // inbox for control messages
+  common::UpstreamName upstream_name;        // empty: the agent's name
+  common::Endpoint data{"127.0.0.1", 8090};  // HTTP for routers
   common::Endpoint upstream;
-  std::vector<common::Endpoint> routers;
-  int threads = 2;
+
+  AgentSettings();
 };
 
+// The typed keys of both programs, bound to `target`, which must outlive them.
+settings::Settings RouterKeys(RouterSettings* target);
+settings::Settings AgentKeys(AgentSettings* target);
+
 }  // namespace shallotbeam::runtime
 
 #endif  // SHALLOTBEAM_CORE_RUNTIME_PROCESSSETTINGS_H_
--- a/Source/Core/Runtime/RouterProcess.cpp
+++ b/Source/Core/Runtime/RouterProcess.cpp
@@ -123,11 +123,13 @@
       });
   if (!mailbox.ok()) return mailbox.status();
 
-  const routing::RouterOptions options{.name = settings.name,
-                                       .incarnation = incarnation,
-                                       .data_centre = settings.data_centre,
-                                       .control = settings.control,
-                                       .seed = common::ToNumber(incarnation)};
+  const routing::RouterOptions options{
+      .name = settings.name,
+      .incarnation = incarnation,
+      .data_centre = settings.data_centre,
+      .control = settings.control,
+      .seed = common::ToNumber(incarnation),
+      .drain_deadline = settings.drain_deadline};
   const auto engine = std::make_shared<RouterEngine>(
       options, RouterEnvironment{
                    .clock = clock,
--- /dev/null
+++ b/Source/Core/Settings/Settings.cpp
@@ -0,0 +1,295 @@
+#include "Settings/Settings.h"
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+#include <utility>
+
+#include "Common/Logging.h"
+#include "Common/NearestName.h"
+#include "Config/Folder.h"
+#include "Transport/Http.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
+
+namespace shallotbeam::settings {
+
+namespace {
+
+namespace po = boost::program_options;
+using nlohmann::json;
+
+constexpr const char* kAddress = "an IP address and a port";
+
+// Names of settings that a layer has given.
+using Given = std::set<std::string>;
+
+absl::Status Mistake(const std::string& layer, const std::string& key,
+                     const std::string& expected, const std::string& found) {
+  return absl::InvalidArgumentError(absl::StrCat(
+      layer, ": ", key, ": expected ", expected, ", found ", found));
+}
+
+std::string FileKey(const std::string& name) {
+  return absl::StrReplaceAll(name, {{"-", "_"}});
+}
+
+// One layer's value of a setting from a settings file.
+absl::Status ApplyJson(const Setting& setting, const std::string& layer,
+                       const json& value) {
+  const bool list = setting.repeated && value.is_array();
+  const json values = list ? value : json::array({value});
+  if (setting.clear) setting.clear();
+  for (const json& it : values) {
+    const bool typed = setting.number ? it.is_number_integer() : it.is_string();
+    const std::string text = it.is_string() ? it.get<std::string>() : it.dump();
+    if (!typed || !setting.parse(text)) {
+      return Mistake(layer, FileKey(setting.name), setting.expected, it.dump());
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status ApplyFile(const Settings& settings, const std::string& path,
+                       Given* given) {
+  const std::string layer = absl::StrCat("settings file \"", path, "\"");
+  std::ifstream stream(path);
+  if (!stream) {
+    return absl::InvalidArgumentError(absl::StrCat(layer, " can't be read"));
+  }
+  const std::string text{std::istreambuf_iterator<char>(stream), {}};
+  std::vector<config::Problem> problems;
+  const json root = config::ParseFile(text, path, &problems);
+  if (!problems.empty()) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("settings file ", config::ToString(problems.front())));
+  }
+  if (!root.is_object()) {
+    return Mistake(layer, "document", "an object", root.dump());
+  }
+  std::map<std::string, const Setting*> by_key;
+  std::vector<std::string> known;
+  for (const Setting& it : settings) {
+    by_key[FileKey(it.name)] = &it;
+    known.push_back(FileKey(it.name));
+  }
+  for (const auto& [key, value] : root.items()) {
+    const auto it = by_key.find(key);
+    if (it == by_key.end()) {
+      const std::string nearest = common::NearestName(key, known);
+      return Mistake(layer, key,
+                     nearest.empty()
+                         ? "a known key"
+                         : absl::StrCat("the known key \"", nearest, "\""),
+                     "an unknown key");
+    }
+    const absl::Status status = ApplyJson(*it->second, layer, value);
+    if (!status.ok()) return status;
+    given->insert(it->second->name);
+  }
+  return absl::OkStatus();
+}
+
+po::options_description Describe(const std::string& title,
+                                 const Settings& settings) {
+  po::options_description options(title);
+  options.add_options()("help", "print this help")("version",
+                                                   "print the version")(
+      "settings", po::value<std::string>(),
+      "settings file; the command line takes precedence");
+  for (const Setting& it : settings) {
+    std::string text = it.meaning;
+    if (!it.unit.empty()) absl::StrAppend(&text, " (", it.unit, ")");
+    if (it.repeated) absl::StrAppend(&text, "; may be repeated");
+    if (!it.standard.empty()) {
+      absl::StrAppend(&text, " [default ", it.standard, "]");
+    }
+    if (it.presence == Presence::kRequired)
+      absl::StrAppend(&text, " [required]");
+    options.add_options()(it.name.c_str(),
+                          po::value<std::vector<std::string>>(), text.c_str());
+  }
+  return options;
+}
+
+absl::Status ApplyCommandLine(const Settings& settings,
+                              const po::variables_map& values, Given* given) {
+  for (const Setting& setting : settings) {
+    if (values.count(setting.name) == 0) continue;
+    const auto& texts = values[setting.name].as<std::vector<std::string>>();
+    const std::string key = absl::StrCat("--", setting.name);
+    if (texts.size() > 1 && !setting.repeated) {
+      return Mistake("command line", key, "one value",
+                     absl::StrCat(texts.size(), " values"));
+    }
+    if (setting.clear) setting.clear();
+    for (const std::string& text : texts) {
+      if (!setting.parse(text)) {
+        return Mistake("command line", key, setting.expected,
+                       json(text).dump());
+      }
+    }
+    given->insert(setting.name);
+  }
+  return absl::OkStatus();
+}
+
+template <typename Integer>
+Setting Integral(std::string name, std::string meaning, Integer low,
+                 Integer high, std::function<void(Integer)> store) {
+  return {
+      .name = std::move(name),
+      .expected = absl::StrCat("an integer from ", low, " to ", high),
+      .meaning = std::move(meaning),
+      .number = true,
+      .parse = [low, high, store = std::move(store)](const std::string& text) {
+        Integer value = 0;
+        if (!absl::SimpleAtoi(text, &value)) return false;
+        if (value < low || value > high) return false;
+        store(value);
+        return true;
+      }};
+}
+
+}  // namespace
+
+Setting Text(std::string name, std::string meaning, std::string* target,
+             Presence presence) {
+  return {.name = std::move(name),
+          .expected = "a string that is not empty",
+          .standard = *target,
+          .meaning = std::move(meaning),
+          .presence = presence,
+          .parse = [target](const std::string& text) {
+            *target = text;
+            return !text.empty();
+          }};
+}
+
+Setting Number(std::string name, std::string meaning, int low, int high,
+               int* target) {
+  Setting setting =
+      Integral<int>(std::move(name), std::move(meaning), low, high,
+                    [target](int value) { *target = value; });
+  setting.standard = absl::StrCat(*target);
+  return setting;
+}
+
+Setting Milliseconds(std::string name, std::string meaning,
+                     std::chrono::milliseconds low,
+                     std::chrono::milliseconds high,
+                     std::chrono::milliseconds* target) {
+  Setting setting =
+      Integral<std::int64_t>(std::move(name), std::move(meaning), low.count(),
+                             high.count(), [target](std::int64_t value) {
+                               *target = std::chrono::milliseconds(value);
+                             });
+  setting.standard = absl::StrCat(target->count());
+  setting.unit = "milliseconds";
+  return setting;
+}
+
+Setting Address(std::string name, std::string meaning, common::Endpoint* target,
+                Presence presence) {
+  return {.name = std::move(name),
+          .expected = kAddress,
+          .standard = target->address.empty() ? "" : common::ToString(*target),
+          .meaning = std::move(meaning),
+          .presence = presence,
+          .parse = [target](const std::string& text) {
+            const auto endpoint = transport::ParseEndpoint(text);
+            if (endpoint) *target = *endpoint;
+            return endpoint.has_value();
+          }};
+}
+
+Setting Addresses(std::string name, std::string meaning,
+                  std::vector<common::Endpoint>* target, Presence presence) {
+  return {.name = std::move(name),
+          .expected = kAddress,
+          .meaning = std::move(meaning),
+          .presence = presence,
+          .repeated = true,
+          .parse =
+              [target](const std::string& text) {
+                const auto endpoint = transport::ParseEndpoint(text);
+                if (endpoint) target->push_back(*endpoint);
+                return endpoint.has_value();
+              },
+          .clear = [target] { target->clear(); }};
+}
+
+Setting LogLevels(std::string name, std::string meaning, std::string* target) {
+  return {.name = std::move(name),
+          .expected = "levels such as info,routing=debug",
+          .standard = *target,
+          .meaning = std::move(meaning),
+          .parse = [target](const std::string& text) {
+            *target = text;
+            return !text.empty() && common::CheckLogLevels(text).ok();
+          }};
+}
+
+absl::Status Read(const Settings& settings,
+                  const std::vector<std::string>& arguments) {
+  po::variables_map values;
+  // The library reports wrong usage by exceptions.
+  try {
+    // Guessing allows abbreviations, which a later release can make ambiguous.
+    const int style = po::command_line_style::default_style &
+                      ~po::command_line_style::allow_guessing;
+    po::store(po::command_line_parser(arguments)
+                  .options(Describe("", settings))
+                  .style(style)
+                  .run(),
+              values);
+  } catch (const po::error& error) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("command line: ", error.what()));
+  }
+  Given given;
+  if (values.count("settings") != 0) {
+    const absl::Status file =
+        ApplyFile(settings, values["settings"].as<std::string>(), &given);
+    if (!file.ok()) return file;
+  }
+  const absl::Status line = ApplyCommandLine(settings, values, &given);
+  if (!line.ok()) return line;
+  for (const Setting& it : settings) {
+    if (it.presence == Presence::kOptional || given.count(it.name) != 0) {
+      continue;
+    }
+    return Mistake("command line or settings file", absl::StrCat("--", it.name),
+                   it.expected, "nothing");
+  }
+  return absl::OkStatus();
+}
+
+std::string Help(const std::string& program, const Settings& settings) {
+  std::ostringstream stream;
+  stream << Describe(absl::StrCat("Options of ", program), settings);
+  return stream.str();
+}
+
+std::string ReferenceTable(const Settings& settings) {
+  std::string table =
+      "| option | key in a file | expected | default | unit | meaning |\n"
+      "|---|---|---|---|---|---|\n";
+  for (const Setting& it : settings) {
+    std::string standard;
+    if (it.presence == Presence::kRequired) standard = "required";
+    if (!it.standard.empty()) standard = absl::StrCat("`", it.standard, "`");
+    absl::StrAppend(&table, "| `--", it.name, "` | `", FileKey(it.name), "` | ",
+                    it.repeated ? "a list; each " : "", it.expected, " | ",
+                    standard, " | ", it.unit, " | ", it.meaning, " |\n");
+  }
+  return table;
+}
+
+}  // namespace shallotbeam::settings
--- /dev/null
+++ b/Source/Core/Settings/Settings.h
@@ -0,0 +1,76 @@
+#ifndef SHALLOTBEAM_CORE_SETTINGS_SETTINGS_H_
+#define SHALLOTBEAM_CORE_SETTINGS_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "Common/Types.h"
+#include "absl/status/status.h"
+
+// Settings of one process, read through layers: defaults, a settings file (JSON
+// with comments), the command line. A later layer replaces an earlier one.
+namespace shallotbeam::settings {
+
+enum class Presence : std::uint8_t {
+  kOptional,  // has a default or may stay empty
+  kRequired,
+};
+
+// A typed key. On the command line "data-centre" is --data-centre; in a
+// settings file it is "data_centre".
+struct Setting {
+  std::string name;
+  std::string expected;  // type and range
+  std::string standard;  // default value; empty if there is none
+  std::string unit;
+  std::string meaning;
+  Presence presence = Presence::kOptional;
+  bool number = false;    // written as a number in a settings file
+  bool repeated = false;  // a list in a settings file
+  // Stores one value; returns false if it has the wrong type or range.
+  std::function<bool(const std::string& text)> parse;
+  // Empties a repeated setting before a layer that gives it.
+  std::function<void()> clear;
+};
+
+using Settings = std::vector<Setting>;
+
+// Constructors of settings. `target` must outlive the setting and holds the
+// default.
+Setting Text(std::string name, std::string meaning, std::string* target,
+             Presence presence = Presence::kOptional);
+template <typename Tag>
+Setting Text(std::string name, std::string meaning, common::Name<Tag>* target,
+             Presence presence = Presence::kOptional) {
+  return Text(std::move(name), std::move(meaning), &target->value, presence);
+}
+Setting Number(std::string name, std::string meaning, int low, int high,
+               int* target);
+Setting Milliseconds(std::string name, std::string meaning,
+                     std::chrono::milliseconds low,
+                     std::chrono::milliseconds high,
+                     std::chrono::milliseconds* target);
+Setting Address(std::string name, std::string meaning, common::Endpoint* target,
+                Presence presence = Presence::kOptional);
+Setting Addresses(std::string name, std::string meaning,
+                  std::vector<common::Endpoint>* target,
+                  Presence presence = Presence::kOptional);
+Setting LogLevels(std::string name, std::string meaning, std::string* target);
+
+// Reads the settings file named by --settings, if any, and the command line.
+// Returns kInvalidArgument with layer, key, expected and found.
+absl::Status Read(const Settings& settings,
+                  const std::vector<std::string>& arguments);
+
+// The options as text for --help.
+std::string Help(const std::string& program, const Settings& settings);
+
+// The settings as a Markdown table for docs/configuration.md.
+std::string ReferenceTable(const Settings& settings);
+
+}  // namespace shallotbeam::settings
+
+#endif  // SHALLOTBEAM_CORE_SETTINGS_SETTINGS_H_
