Add leases, watches and the host list to the platform adapter

Cause: the adapter covered reads and swaps only, and the stand-in ran only as a process of its own, so that no unit test could use it.

--- a/Source/Core/Platform/EtcdStore.cpp
+++ b/Source/Core/Platform/EtcdStore.cpp
@@ -28,13 +28,7 @@
   return value;
 }
 
-// First entry of a range response; absent keys have none.
-StoredValue FirstOf(const json& range) {
-  const auto entries = range.find("kvs");
-  if (entries == range.end() || !entries->is_array() || entries->empty()) {
-    return {};
-  }
-  const json& entry = entries->front();
+StoredValue ValueOf(const json& entry) {
   StoredValue stored{.revision = NumberOf(entry, "mod_revision")};
   const auto value = entry.find("value");
   if (value != entry.end() && value->is_string()) {
@@ -43,6 +37,15 @@
   return stored;
 }
 
+// First entry of a range response; absent keys have none.
+StoredValue FirstOf(const json& range) {
+  const auto entries = range.find("kvs");
+  if (entries == range.end() || !entries->is_array() || entries->empty()) {
+    return {};
+  }
+  return ValueOf(entries->front());
+}
+
 std::optional<json> ParseAnswer(CallEnd end, const HttpResponse& response) {
   if (end != CallEnd::kComplete || response.status != 200) return std::nullopt;
   json answer = json::parse(response.body, nullptr, /*allow_exceptions=*/false);
@@ -69,6 +72,79 @@
   return {.outcome = SwapOutcome::kConflict, .stored = FirstOf(*range)};
 }
 
+LeaseResult JudgeLease(CallEnd end, const HttpResponse& response) {
+  // The gateway answers 404 for a lease that has ended.
+  if (end == CallEnd::kComplete && response.status == 404) {
+    return {.status = absl::NotFoundError("the lease has ended")};
+  }
+  const auto answer = ParseAnswer(end, response);
+  if (!answer) {
+    return {.status =
+                absl::UnavailableError("key-value service gave no answer")};
+  }
+  // Renewals are streamed and wrapped in "result".
+  const json& result =
+      answer->contains("result") ? answer->at("result") : *answer;
+  const std::uint64_t ttl = NumberOf(result, "TTL");
+  LeaseResult lease = {
+      .status = absl::OkStatus(),
+      .lease = static_cast<LeaseId>(NumberOf(result, "ID")),
+      .time_to_live = std::chrono::seconds(static_cast<std::int64_t>(ttl))};
+  if (ttl == 0) lease.status = absl::NotFoundError("the lease has ended");
+  return lease;
+}
+
+std::string LeaseBody(LeaseId lease) {
+  return json({{"ID", std::to_string(static_cast<std::uint64_t>(lease))}})
+      .dump();
+}
+
+// Splits the stream of a watch, one JSON object a line, into events.
+class WatchReader {
+ public:
+  explicit WatchReader(WatchHandlers handlers)
+      : handlers_(std::move(handlers)) {}
+
+  void Take(const std::string& piece) {
+    buffer_ += piece;
+    for (std::size_t end = buffer_.find('\n'); end != std::string::npos;
+         end = buffer_.find('\n')) {
+      TakeLine(buffer_.substr(0, end));
+      buffer_.erase(0, end + 1);
+    }
+  }
+  void End() const { handlers_.on_end(); }
+
+ private:
+  void TakeLine(const std::string& line) const {
+    const json message = json::parse(line, nullptr, /*allow_exceptions=*/false);
+    if (!message.is_object() || !message.contains("result")) return;
+    const auto events = message["result"].find("events");
+    if (events == message["result"].end()) return;
+    for (const json& event : *events) {
+      const auto entry = event.find("kv");
+      if (entry == event.end()) continue;
+      const bool deleted = event.value("type", "PUT") == "DELETE";
+      handlers_.on_change(deleted ? StoredValue() : ValueOf(*entry));
+    }
+  }
+
+  WatchHandlers handlers_;
+  std::string buffer_;
+};
+
+class EtcdWatch : public KeyWatch {
+ public:
+  explicit EtcdWatch(std::shared_ptr<transport::HttpCall> call)
+      : call_(std::move(call)) {}
+  ~EtcdWatch() override { call_->Cancel(); }
+  EtcdWatch(const EtcdWatch&) = delete;
+  EtcdWatch& operator=(const EtcdWatch&) = delete;
+
+ private:
+  std::shared_ptr<transport::HttpCall> call_;
+};
+
 }  // namespace
 
 EtcdStore::EtcdStore(transport::HttpClient& client, EtcdOptions options)
@@ -77,7 +153,7 @@
 void EtcdStore::Read(const std::string& key,
                      std::function<void(ReadResult)> done) {
   const json request = {{"key", absl::Base64Escape(key)}};
-  Post("/v3/kv/range", request.dump(),
+  Post("/v3/kv/range", request.dump(), &reads_,
        [done = std::move(done)](CallEnd end, const HttpResponse& response) {
          const auto answer = ParseAnswer(end, response);
          if (!answer) {
@@ -92,19 +168,30 @@
                                std::uint64_t expected_revision,
                                const std::string& value,
                                std::function<void(SwapResult)> done) {
+  CompareAndSwapLeased(key, expected_revision, value, LeaseId::kNone,
+                       std::move(done));
+}
+
+void EtcdStore::CompareAndSwapLeased(const std::string& key,
+                                     std::uint64_t expected_revision,
+                                     const std::string& value, LeaseId lease,
+                                     std::function<void(SwapResult)> done) {
   const std::string encoded_key = absl::Base64Escape(key);
   const json compare = {{"key", encoded_key},
                         {"target", "MOD"},
                         {"result", "EQUAL"},
                         {"mod_revision", std::to_string(expected_revision)}};
-  const json put = {
-      {"request_put",
-       {{"key", encoded_key}, {"value", absl::Base64Escape(value)}}}};
+  json put = {{"request_put",
+               {{"key", encoded_key}, {"value", absl::Base64Escape(value)}}}};
+  if (lease != LeaseId::kNone) {
+    put["request_put"]["lease"] =
+        std::to_string(static_cast<std::uint64_t>(lease));
+  }
   const json get = {{"request_range", {{"key", encoded_key}}}};
   const json request = {{"compare", json::array({compare})},
                         {"success", json::array({put})},
                         {"failure", json::array({get})}};
-  Post("/v3/kv/txn", request.dump(),
+  Post("/v3/kv/txn", request.dump(), &writes_,
        [value, done = std::move(done)](CallEnd end,
                                        const HttpResponse& response) {
          const auto answer = ParseAnswer(end, response);
@@ -112,9 +199,74 @@
        });
 }
 
+void EtcdStore::GrantLease(std::chrono::seconds time_to_live,
+                           std::function<void(LeaseResult)> done) {
+  const json request = {{"TTL", std::to_string(time_to_live.count())}};
+  Post("/v3/lease/grant", request.dump(), &leases_,
+       [done = std::move(done)](CallEnd end, const HttpResponse& response) {
+         done(JudgeLease(end, response));
+       });
+}
+
+void EtcdStore::KeepLease(LeaseId lease,
+                          std::function<void(LeaseResult)> done) {
+  Post("/v3/lease/keepalive", LeaseBody(lease), &leases_,
+       [done = std::move(done)](CallEnd end, const HttpResponse& response) {
+         done(JudgeLease(end, response));
+       });
+}
+
+void EtcdStore::RevokeLease(LeaseId lease,
+                            std::function<void(LeaseResult)> done) {
+  Post("/v3/lease/revoke", LeaseBody(lease), &leases_,
+       [lease, done = std::move(done)](CallEnd end,
+                                       const HttpResponse& response) {
+         // The answer holds only a header; a lease that is gone is revoked.
+         const bool answered =
+             end == CallEnd::kComplete &&
+             (response.status == 200 || response.status == 404);
+         done({.status = answered ? absl::OkStatus()
+                                  : absl::UnavailableError(
+                                        "key-value service gave no answer"),
+               .lease = lease});
+       });
+}
+
+std::shared_ptr<KeyWatch> EtcdStore::Watch(const std::string& key,
+                                           std::uint64_t from_revision,
+                                           WatchHandlers handlers) {
+  ++watches_;
+  json create = {{"key", absl::Base64Escape(key)}};
+  if (from_revision > 0) {
+    create["start_revision"] = std::to_string(from_revision);
+  }
+  transport::HttpRequest request{.method = "POST", .target = "/v3/watch"};
+  request.headers.set("Content-Type", "application/json");
+  request.body = json({{"create_request", create}}).dump();
+  const auto reader = std::make_shared<WatchReader>(std::move(handlers));
+  return std::make_shared<EtcdWatch>(client_.Start(
+      options_.endpoint, std::move(request), options_.watch_timeout,
+      {.on_head = [](const transport::ResponseHead&) {},
+       .on_body =
+           [reader](const std::string& piece,
+                    const std::function<void()>& resume) {
+             reader->Take(piece);
+             resume();
+           },
+       .on_end = [reader](CallEnd) { reader->End(); }}));
+}
+
+CallCounts EtcdStore::Calls() const {
+  return {.reads = reads_,
+          .writes = writes_,
+          .leases = leases_,
+          .watches = watches_};
+}
+
 void EtcdStore::Post(const std::string& path, std::string body,
+                     Counter* counter,
                      transport::HttpClient::FetchHandler handler) {
-  ++calls_;
+  ++*counter;
   transport::HttpRequest request{.method = "POST", .target = path};
   request.headers.set("Content-Type", "application/json");
   request.body = std::move(body);
--- a/Source/Core/Platform/EtcdStore.h
+++ b/Source/Core/Platform/EtcdStore.h
@@ -15,10 +15,22 @@
 struct EtcdOptions {
   common::Endpoint endpoint;
   common::Duration timeout = std::chrono::seconds(1);
+  // A watch ends after this time and is renewed by its owner, so that a dead
+  // connection is noticed.
+  common::Duration watch_timeout = std::chrono::seconds(60);
 };
 
-// Speaks the JSON gateway of etcd v3: /v3/kv/range and /v3/kv/txn.
-class EtcdStore : public KeyValueStore {
+// Calls made so far; each counts against the service's rate limits.
+struct CallCounts {
+  std::uint64_t reads = 0;
+  std::uint64_t writes = 0;
+  std::uint64_t leases = 0;
+  std::uint64_t watches = 0;
+};
+
+// Speaks the JSON gateway of etcd v3: /v3/kv/range, /v3/kv/txn, /v3/lease/*
+// and /v3/watch.
+class EtcdStore : public LeaseStore {
  public:
   EtcdStore(transport::HttpClient& client, EtcdOptions options);
 
@@ -28,16 +40,33 @@
                       const std::string& value,
                       std::function<void(SwapResult)> done) override;
 
-  // Calls made so far.
-  std::uint64_t Calls() const { return calls_; }
+  void GrantLease(std::chrono::seconds time_to_live,
+                  std::function<void(LeaseResult)> done) override;
+  void KeepLease(LeaseId lease, std::function<void(LeaseResult)> done) override;
+  void RevokeLease(LeaseId lease,
+                   std::function<void(LeaseResult)> done) override;
+  void CompareAndSwapLeased(const std::string& key,
+                            std::uint64_t expected_revision,
+                            const std::string& value, LeaseId lease,
+                            std::function<void(SwapResult)> done) override;
+  std::shared_ptr<KeyWatch> Watch(const std::string& key,
+                                  std::uint64_t from_revision,
+                                  WatchHandlers handlers) override;
+
+  CallCounts Calls() const;
 
  private:
-  void Post(const std::string& path, std::string body,
+  using Counter = std::atomic<std::uint64_t>;
+
+  void Post(const std::string& path, std::string body, Counter* counter,
             transport::HttpClient::FetchHandler handler);
 
   transport::HttpClient& client_;
   EtcdOptions options_;
-  std::atomic<std::uint64_t> calls_ = 0;
+  Counter reads_ = 0;
+  Counter writes_ = 0;
+  Counter leases_ = 0;
+  Counter watches_ = 0;
 };
 
 }  // namespace shallotbeam::platform
--- /dev/null
+++ b/Source/Core/Platform/HostList.h
@@ -0,0 +1,59 @@
+#ifndef SHALLOTBEAM_CORE_PLATFORM_HOSTLIST_H_
+#define SHALLOTBEAM_CORE_PLATFORM_HOSTLIST_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "Common/Clock.h"
+#include "Common/Types.h"
+#include "Transport/HttpClient.h"
+#include "absl/status/statusor.h"
+
+// The platform's list of hosts. It lags, so that its absence of a host proves
+// nothing.
+namespace shallotbeam::platform {
+
+enum class HostState : std::uint8_t { kLive, kLeaving };
+
+struct Host {
+  std::string name;
+  std::string address;  // IP address
+  HostState state = HostState::kLive;
+};
+
+using HostsResult = absl::StatusOr<std::vector<Host>>;
+
+class HostList {
+ public:
+  virtual ~HostList() = default;
+
+  // Answers on another thread. kUnavailable: no valid answer.
+  virtual void List(std::function<void(HostsResult)> done) = 0;
+};
+
+// Parses [{"name": "h1", "address": "10.1.2.3", "state": "live"}, ...]. The
+// states are "live" and "leaving". Returns kInvalidArgument otherwise.
+HostsResult ParseHosts(const std::string& text);
+
+struct HostListOptions {
+  common::Endpoint endpoint;
+  common::Duration timeout = std::chrono::seconds(1);
+};
+
+// Reads the list by GET /hosts.
+class HttpHostList : public HostList {
+ public:
+  HttpHostList(transport::HttpClient& client, HostListOptions options);
+
+  void List(std::function<void(HostsResult)> done) override;
+
+ private:
+  transport::HttpClient& client_;
+  HostListOptions options_;
+};
+
+}  // namespace shallotbeam::platform
+
+#endif  // SHALLOTBEAM_CORE_PLATFORM_HOSTLIST_H_
