Publish the configuration in an envelope and tell losers of a race

Cause: the published value was the bare document, so that a publisher took an equal document of someone else for its own write; a repeated publication wrote a new version; the loser of a race learned only a number. Change: the value holds publisher, random id and time beside the document; an unchanged document is not written; a lost response is read back and the swap is repeated against the same revision; conflicts name the winner and the next step; exit codes distinguish usage, conflicts and outages. status and config status print tables or JSON.

--- a/Source/Core/Config/Document.cpp
+++ b/Source/Core/Config/Document.cpp
@@ -213,6 +213,14 @@
   if (merged.root.is_discarded() || !merged.root.is_object()) {
     return absl::InvalidArgumentError("configuration document is not JSON");
   }
+  // A published value wraps the document; see Config/Publication.h.
+  const auto wrapped = merged.root.find("document");
+  if (wrapped != merged.root.end()) {
+    if (!wrapped->is_object()) {
+      return absl::InvalidArgumentError("configuration document is no object");
+    }
+    merged.root = json(*wrapped);
+  }
   merged.file_of_path[""] = "document";
   std::vector<Problem> problems;
   FleetConfig config =
--- a/Source/Core/Runtime/CommandLine.h
+++ b/Source/Core/Runtime/CommandLine.h
@@ -15,8 +15,11 @@
 
 // Exit codes of the programs.
 inline constexpr int kExitOk = 0;
-inline constexpr int kExitFailure = 1;  // the command failed
-inline constexpr int kExitUsage = 2;    // the command line is wrong
+inline constexpr int kExitFailure = 1;   // the command failed
+inline constexpr int kExitUsage = 2;     // the command line is wrong
+inline constexpr int kExitConflict = 3;  // someone else published meanwhile
+// The store or a process gave no answer.
+inline constexpr int kExitUnavailable = 4;
 
 // Parses arguments without the program's name. Returns kInvalidArgument with a
 // message for the user.
--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -16,6 +16,7 @@
 #include "Transport/Http.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "absl/strings/str_replace.h"
 
 namespace shallotbeam::settings {
@@ -181,6 +182,15 @@
   return setting;
 }
 
+Setting Number(std::string name, std::string meaning, std::int64_t low,
+               std::int64_t high, std::int64_t* target) {
+  Setting setting =
+      Integral<std::int64_t>(std::move(name), std::move(meaning), low, high,
+                             [target](std::int64_t value) { *target = value; });
+  setting.standard = absl::StrCat(*target);
+  return setting;
+}
+
 Setting Milliseconds(std::string name, std::string meaning,
                      std::chrono::milliseconds low,
                      std::chrono::milliseconds high,
@@ -225,6 +235,19 @@
           .clear = [target] { target->clear(); }};
 }
 
+Setting Choice(std::string name, std::string meaning,
+               std::vector<std::string> choices, std::string* target) {
+  return {.name = std::move(name),
+          .expected = absl::StrJoin(choices, " or "),
+          .standard = *target,
+          .meaning = std::move(meaning),
+          .parse = [target, choices](const std::string& text) {
+            *target = text;
+            return std::find(choices.begin(), choices.end(), text) !=
+                   choices.end();
+          }};
+}
+
 Setting LogLevels(std::string name, std::string meaning, std::string* target) {
   return {.name = std::move(name),
           .expected = "levels such as info,routing=debug",
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -49,6 +49,8 @@
 }
 Setting Number(std::string name, std::string meaning, int low, int high,
                int* target);
+Setting Number(std::string name, std::string meaning, std::int64_t low,
+               std::int64_t high, std::int64_t* target);
 Setting Milliseconds(std::string name, std::string meaning,
                      std::chrono::milliseconds low,
                      std::chrono::milliseconds high,
@@ -58,6 +60,9 @@
 Setting Addresses(std::string name, std::string meaning,
                   std::vector<common::Endpoint>* target,
                   Presence presence = Presence::kOptional);
+// One of `choices`.
+Setting Choice(std::string name, std::string meaning,
+               std::vector<std::string> choices, std::string* target);
 Setting LogLevels(std::string name, std::string meaning, std::string* target);
 
 // Reads the settings file named by --settings, if any, and the command line.
--- a/Source/Shallotbeam/ConfigCommands.cpp
+++ b/Source/Shallotbeam/ConfigCommands.cpp
@@ -1,152 +1,228 @@
-#include <fmt/format.h>
+#include <fmt/chrono.h>
+#include <fmt/ostream.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/program_options.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <limits>
+#include <nlohmann/json.hpp>
 #include <optional>
 
+#include "CommandTools.h"
 #include "Commands.h"
 #include "Common/StatusText.h"
 #include "Config/Document.h"
-#include "Platform/EtcdStore.h"
+#include "Config/Publication.h"
 #include "Runtime/CommandLine.h"
 #include "Runtime/ConfigHolder.h"
-#include "Transport/HttpClient.h"
+#include "Runtime/ProcessHost.h"
 
 namespace shallotbeam::commands {
 
 namespace {
 
-namespace po = boost::program_options;
+using nlohmann::json;
 
-// Runs one asynchronous call of the store to its end.
-class StoreSession {
- public:
-  explicit StoreSession(const common::Endpoint& endpoint)
-      : client_(context_), store_(client_, {.endpoint = endpoint}) {}
+// The swap is repeated with the same value after a lost response; the revision
+// lets at most one of them take effect.
+constexpr int kPublishAttempts = 3;
 
-  platform::ReadResult Read(const std::string& key) {
-    platform::ReadResult result;
-    store_.Read(key, [&](const platform::ReadResult& read) { result = read; });
-    RunToEnd();
-    return result;
-  }
+const common::Endpoint kDefaultPlatform{"127.0.0.1", 2379};
 
-  platform::SwapResult Swap(const std::string& key, std::uint64_t revision,
-                            const std::string& value) {
-    platform::SwapResult result;
-    platform::CompareAndSwapReadBack(
-        store_, key, revision, value,
-        [&](const platform::SwapResult& swap) { result = swap; });
-    RunToEnd();
-    return result;
-  }
+settings::Setting PlatformOption(common::Endpoint* endpoint) {
+  return settings::Address(
+      "platform", "address of the platform's key-value service", endpoint);
+}
 
- private:
-  void RunToEnd() {
-    context_.restart();
-    context_.run();
-  }
+std::string DefaultPublisher() {
+  const char* user = std::getenv("USER");  // NOLINT(concurrency-mt-unsafe)
+  return user == nullptr || *user == '\0' ? "unknown" : user;
+}
 
-  boost::asio::io_context context_;
-  transport::HttpClient client_;
-  platform::EtcdStore store_;
-};
+std::string FormatNow() {
+  const auto now = std::chrono::system_clock::now();
+  return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}",
+                     fmt::gmtime(std::chrono::system_clock::to_time_t(now)));
+}
 
-std::optional<config::ParsedConfig> ReadChecked(const std::string& folder) {
+// Reads a folder; prints its problems and returns nothing if there are any.
+std::optional<config::ParsedConfig> ReadChecked(const std::string& folder,
+                                                const std::string& output,
+                                                const Console& console) {
   auto parsed = config::ReadFolder(folder);
   if (!parsed.ok()) {
-    fmt::print(stderr, "{}\n", common::MessageOf(parsed.status()));
+    fmt::print(console.err, "{}\n", common::MessageOf(parsed.status()));
     return std::nullopt;
   }
-  for (const config::Problem& it : parsed->problems) {
-    fmt::print(stderr, "{}\n", config::ToString(it));
+  const auto& problems = parsed->problems;
+  if (output == "json") {
+    fmt::print(console.out, "{}\n", config::ToJson(problems));
+  } else {
+    for (const config::Problem& it : problems) {
+      fmt::print(console.err, "{}\n", config::ToString(it));
+    }
+    if (!problems.empty()) {
+      fmt::print(console.err, "{} {}\n", problems.size(),
+                 problems.size() == 1 ? "problem" : "problems");
+    }
   }
-  if (parsed->problems.empty()) return *std::move(parsed);
-  fmt::print(stderr, "{} problems\n", parsed->problems.size());
-  return std::nullopt;
+  if (!problems.empty()) return std::nullopt;
+  return *std::move(parsed);
 }
 
-std::optional<common::Endpoint> PlatformOption(const Arguments& arguments) {
-  po::options_description options;
-  options.add_options()(
-      "platform", po::value<std::string>()->default_value("127.0.0.1:2379"));
-  const auto values = runtime::ParseArguments(options, arguments);
-  if (!values.ok()) {
-    fmt::print(stderr, "shallotbeam config: {}\n",
-               common::MessageOf(values.status()));
-    return std::nullopt;
+std::string Describe(const platform::StoredValue& stored) {
+  const auto publication = config::ParsePublication(stored.value);
+  if (!publication.ok() || publication->publisher.empty()) {
+    return fmt::format("version {}", stored.revision);
   }
-  const auto endpoint = runtime::EndpointOption(*values, "platform");
-  if (endpoint.ok()) return *endpoint;
-  fmt::print(stderr, "shallotbeam config: {}\n",
-             common::MessageOf(endpoint.status()));
-  return std::nullopt;
+  return fmt::format("version {}, published by {} at {}", stored.revision,
+                     publication->publisher, publication->time);
 }
 
-}  // namespace
+int ReportUnread(const Console& console, const std::string& consequence) {
+  fmt::print(console.err,
+             "{}: the key-value service gave no answer; try again later\n",
+             consequence);
+  return runtime::kExitUnavailable;
+}
+
+int ReportConflict(const platform::StoredValue& winner,
+                   const std::string& folder, const Console& console) {
+  fmt::print(console.err,
+             "not published: {} is in force instead\n"
+             "Your folder \"{}\" is unchanged. Compare it with the output of "
+             "\"shallotbeam config show\", take over what is missing, and run "
+             "\"shallotbeam config publish {} --expect-version {}\".\n",
+             winner.revision == 0 ? "no configuration" : Describe(winner),
+             folder, folder, winner.revision);
+  return runtime::kExitConflict;
+}
 
-int ConfigCheck(const Arguments& arguments) {
-  if (arguments.size() != 1) {
-    fmt::print(stderr, "Usage: shallotbeam config check DIR\n");
-    return runtime::kExitUsage;
+int Publish(StoreSession& store, std::uint64_t expected,
+            const std::string& value, const std::string& folder,
+            const Console& console) {
+  platform::SwapResult swap;
+  for (int i = 0; i < kPublishAttempts; ++i) {
+    swap = store.Swap(runtime::kConfigStoreKey, expected, value);
+    if (swap.outcome != platform::SwapOutcome::kUnavailable) break;
   }
-  if (!ReadChecked(arguments[0])) return runtime::kExitFailure;
-  fmt::print("no problems\n");
+  // A repeated swap conflicts with the first one if that took effect.
+  const bool own = swap.outcome == platform::SwapOutcome::kConflict &&
+                   swap.stored.value == value;
+  if (own || swap.outcome == platform::SwapOutcome::kSwapped) {
+    fmt::print(console.out, "published version {}\n", swap.stored.revision);
+    return runtime::kExitOk;
+  }
+  if (swap.outcome == platform::SwapOutcome::kConflict) {
+    return ReportConflict(swap.stored, folder, console);
+  }
+  fmt::print(console.err,
+             "unknown whether it was published: the key-value service gave no "
+             "answer\nRun the same command again later; it changes nothing if "
+             "the folder is already in force.\n");
+  return runtime::kExitUnavailable;
+}
+
+}  // namespace
+
+int ConfigCheck(const Arguments& arguments, const Console& console) {
+  std::string folder;
+  std::string output = "table";
+  const auto ended = ReadCommandLine({.command = "shallotbeam config check",
+                                      .takes_folder = true,
+                                      .options = {OutputOption(&output)}},
+                                     arguments, console, &folder);
+  if (ended) return *ended;
+  if (!ReadChecked(folder, output, console)) return runtime::kExitFailure;
+  if (output == "table") fmt::print(console.out, "no problems\n");
   return runtime::kExitOk;
 }
 
-int ConfigPublish(const Arguments& arguments) {
-  if (arguments.empty()) {
-    fmt::print(stderr,
-               "Usage: shallotbeam config publish DIR [--platform ADDRESS]\n");
-    return runtime::kExitUsage;
-  }
-  const auto endpoint =
-      PlatformOption(Arguments(arguments.begin() + 1, arguments.end()));
-  if (!endpoint) return runtime::kExitUsage;
-  const auto parsed = ReadChecked(arguments[0]);
+int ConfigPublish(const Arguments& arguments, const Console& console) {
+  std::string folder;
+  common::Endpoint endpoint = kDefaultPlatform;
+  std::string publisher = DefaultPublisher();
+  std::int64_t expected_version = -1;  // none given
+  settings::Setting expect = settings::Number(
+      "expect-version",
+      "publish only over this version, as printed by config show",
+      std::int64_t{0}, std::numeric_limits<std::int64_t>::max(),
+      &expected_version);
+  expect.standard.clear();
+  const auto ended = ReadCommandLine(
+      {.command = "shallotbeam config publish",
+       .takes_folder = true,
+       .options = {PlatformOption(&endpoint), expect,
+                   settings::Text("publisher", "who publishes", &publisher)}},
+      arguments, console, &folder);
+  if (ended) return *ended;
+  const auto parsed = ReadChecked(folder, "table", console);
   if (!parsed) return runtime::kExitFailure;
 
-  StoreSession store(*endpoint);
-  const platform::ReadResult current = store.Read(runtime::kConfigStoreKey);
-  if (!current.status.ok()) {
-    fmt::print(stderr, "{}\n", common::MessageOf(current.status));
+  const std::string value = config::FormatPublication(
+      {.publisher = publisher,
+       .id = common::ToString(runtime::DrawIncarnation()),
+       .time = FormatNow(),
+       .document = parsed->document});
+  if (value.size() > config::kMaxPublishedBytes) {
+    fmt::print(console.err,
+               "not published: expected at most {} bytes, found {}\n",
+               config::kMaxPublishedBytes, value.size());
     return runtime::kExitFailure;
   }
-  const platform::SwapResult swap = store.Swap(
-      runtime::kConfigStoreKey, current.stored.revision, parsed->document);
-  switch (swap.outcome) {
-    case platform::SwapOutcome::kSwapped:
-      fmt::print("published version {}\n", swap.stored.revision);
-      return runtime::kExitOk;
-    case platform::SwapOutcome::kConflict:
-      fmt::print(stderr,
-                 "not published: version {} was published meanwhile; see "
-                 "\"shallotbeam config show\"\n",
-                 swap.stored.revision);
-      return runtime::kExitFailure;
-    case platform::SwapOutcome::kUnavailable:
-      break;
+  StoreSession store(endpoint);
+  const platform::ReadResult current = store.Read(runtime::kConfigStoreKey);
+  if (!current.status.ok()) return ReportUnread(console, "not published");
+  const auto published = config::ParsePublication(current.stored.value);
+  if (published.ok() &&
+      config::IsSameDocument(published->document, parsed->document)) {
+    fmt::print(console.out, "unchanged: {} holds the same document\n",
+               Describe(current.stored));
+    return runtime::kExitOk;
   }
-  fmt::print(stderr,
-             "unknown whether it was published: the store did not answer\n");
-  return runtime::kExitFailure;
+  const bool outdated =
+      expected_version >= 0 &&
+      static_cast<std::uint64_t>(expected_version) != current.stored.revision;
+  if (outdated) return ReportConflict(current.stored, folder, console);
+  return Publish(store, current.stored.revision, value, folder, console);
 }
 
-int ConfigShow(const Arguments& arguments) {
-  const auto endpoint = PlatformOption(arguments);
-  if (!endpoint) return runtime::kExitUsage;
-  StoreSession store(*endpoint);
+int ConfigShow(const Arguments& arguments, const Console& console) {
+  common::Endpoint endpoint = kDefaultPlatform;
+  std::string output = "table";
+  const auto ended = ReadCommandLine(
+      {.command = "shallotbeam config show",
+       .options = {PlatformOption(&endpoint), OutputOption(&output)}},
+      arguments, console, nullptr);
+  if (ended) return *ended;
+  StoreSession store(endpoint);
   const platform::ReadResult current = store.Read(runtime::kConfigStoreKey);
-  if (!current.status.ok() || current.stored.revision == 0) {
-    fmt::print(stderr, "no configuration was read\n");
+  if (!current.status.ok()) {
+    return ReportUnread(console, "no configuration was read");
+  }
+  if (current.stored.revision == 0) {
+    fmt::print(console.err, "no configuration was published yet\n");
+    return runtime::kExitFailure;
+  }
+  const auto published = config::ParsePublication(current.stored.value);
+  if (!published.ok()) {
+    fmt::print(console.err, "version {}: {}\n", current.stored.revision,
+               common::MessageOf(published.status()));
     return runtime::kExitFailure;
   }
-  fmt::print("// version {}\n{}\n", current.stored.revision,
-             current.stored.value);
+  const json document = json::parse(published->document);
+  if (output == "json") {
+    const json shown = {{"version", current.stored.revision},
+                        {"publisher", published->publisher},
+                        {"id", published->id},
+                        {"time", published->time},
+                        {"document", document}};
+    fmt::print(console.out, "{}\n", shown.dump(2));
+    return runtime::kExitOk;
+  }
+  // JSON with comments: the output can be saved and published again.
+  fmt::print(console.out, "// {}\n{}\n", Describe(current.stored),
+             document.dump(2));
   return runtime::kExitOk;
 }
 
-int ConfigStatus(const Arguments& arguments) { return Status(arguments); }
-
 }  // namespace shallotbeam::commands
--- a/Source/Shallotbeam/Main.cpp
+++ b/Source/Shallotbeam/Main.cpp
@@ -1,5 +1,6 @@
 #include <fmt/format.h>
 
+#include <iostream>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,9 @@
     "  config status        print which version each process uses\n"
     "  status               print queues, shares and upstreams\n"
     "\n"
+    "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 someone else published\n"
+    "meanwhile, 4 the store or a process gave no answer.\n"
+    "\n"
     "shallotbeam COMMAND --help lists the options of a command.\n"
     "shallotbeam --version prints the version.\n";
 
@@ -28,6 +32,7 @@
 int main(int argc, char** argv) {
   namespace runtime = shallotbeam::runtime;
   namespace commands = shallotbeam::commands;
+  const commands::Console console{.out = std::cout, .err = std::cerr};
   std::vector<std::string> arguments(argv + 1, argv + argc);
   if (arguments.empty()) {
     fmt::print(stderr, "{}", kUsage);
@@ -44,14 +49,14 @@
     return runtime::kExitOk;
   }
   if (command == "router") return commands::Router(arguments);
-  if (command == "status") return commands::Status(arguments);
+  if (command == "status") return commands::Status(arguments, console);
   if (command == "config" && !arguments.empty()) {
     const std::string action = arguments.front();
     arguments.erase(arguments.begin());
-    if (action == "check") return commands::ConfigCheck(arguments);
-    if (action == "publish") return commands::ConfigPublish(arguments);
-    if (action == "show") return commands::ConfigShow(arguments);
-    if (action == "status") return commands::ConfigStatus(arguments);
+    if (action == "check") return commands::ConfigCheck(arguments, console);
+    if (action == "publish") return commands::ConfigPublish(arguments, console);
+    if (action == "show") return commands::ConfigShow(arguments, console);
+    if (action == "status") return commands::ConfigStatus(arguments, console);
     command += " " + action;
   }
   fmt::print(stderr, "shallotbeam: unknown command \"{}\"\n\n{}", command,
--- a/Source/Shallotbeam/StatusCommand.cpp
+++ b/Source/Shallotbeam/StatusCommand.cpp
@@ -1,54 +1,169 @@
-#include <fmt/format.h>
+#include <fmt/ostream.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/program_options.hpp>
+#include <map>
+#include <set>
 
+#include "CommandTools.h"
 #include "Commands.h"
 #include "Common/StatusText.h"
 #include "Runtime/CommandLine.h"
-#include "Transport/HttpClient.h"
 
 namespace shallotbeam::commands {
 
 namespace {
 
-namespace po = boost::program_options;
+using nlohmann::json;
 
-constexpr common::Duration kTimeout = std::chrono::seconds(2);
+const common::Endpoint kDefaultAdmin{"127.0.0.1", 8081};
 
-}  // namespace
+// A value of a status as text; a member that an older process does not report
+// is shown as "-".
+std::string Cell(const json& object, const char* key) {
+  const auto it = object.find(key);
+  if (it == object.end()) return "-";
+  if (it->is_string()) return it->get<std::string>();
+  if (it->is_boolean()) return it->get<bool>() ? "yes" : "no";
+  if (it->is_number_float()) return fmt::format("{:.1f}", it->get<double>());
+  return it->dump();
+}
 
-int Status(const Arguments& arguments) {
-  po::options_description options;
-  options.add_options()(
-      "admin", po::value<std::string>()->default_value("127.0.0.1:8081"));
-  const auto values = runtime::ParseArguments(options, arguments);
-  if (!values.ok()) {
-    fmt::print(stderr, "shallotbeam status: {}\n",
-               common::MessageOf(values.status()));
-    return runtime::kExitUsage;
+// One list of a status as a table.
+std::string Section(const json& status, const char* list,
+                    const std::vector<const char*>& columns) {
+  std::vector<std::vector<std::string>> rows = {
+      {columns.begin(), columns.end()}};
+  for (const json& it : status.value(list, json::array())) {
+    std::vector<std::string> row;
+    row.reserve(columns.size());
+    for (const char* column : columns) row.push_back(Cell(it, column));
+    rows.push_back(std::move(row));
   }
-  const auto endpoint = runtime::EndpointOption(*values, "admin");
-  if (!endpoint.ok()) {
-    fmt::print(stderr, "shallotbeam status: {}\n",
-               common::MessageOf(endpoint.status()));
-    return runtime::kExitUsage;
+  return fmt::format("\n{}\n{}", list, FormatTable(rows));
+}
+
+// One process and the version it has in force.
+struct Process {
+  std::string role;
+  std::string data_centre;
+  std::uint64_t version = 0;
+  std::uint64_t silent_ms = 0;  // age of the report
+};
+
+Process ToProcess(const json& object) {
+  return {.role = Cell(object, "role"),
+          .data_centre = object.value("data_centre", ""),
+          .version = object.value("config_version", std::uint64_t{0}),
+          .silent_ms = object.value("silent_ms", std::uint64_t{0})};
+}
+
+// The router itself and the processes it hears of. Of several reports on one
+// process the latest counts.
+void Collect(const json& status, std::map<std::string, Process>* processes) {
+  const auto take = [&](const json& object) {
+    const Process process = ToProcess(object);
+    const auto [it, added] =
+        processes->emplace(object.value("name", ""), process);
+    if (!added && process.silent_ms < it->second.silent_ms) {
+      it->second = process;
+    }
+  };
+  take(status);
+  for (const json& it : status.value("processes", json::array())) take(it);
+}
+
+json ToJson(const std::map<std::string, Process>& processes) {
+  json list = json::array();
+  for (const auto& [name, it] : processes) {
+    list.push_back({{"name", name},
+                    {"role", it.role},
+                    {"data_centre", it.data_centre},
+                    {"config_version", it.version},
+                    {"silent_ms", it.silent_ms}});
   }
-  boost::asio::io_context context;
-  transport::HttpClient client(context);
-  transport::HttpResponse response;
-  client.Fetch(*endpoint, {.method = "GET", .target = "/status"}, kTimeout,
-               [&](transport::CallEnd, const transport::HttpResponse& it) {
-                 response = it;
-               });
-  context.run();
-  if (response.status != 200) {
-    fmt::print(stderr, "shallotbeam status: no answer from {}\n",
-               common::ToString(*endpoint));
-    return runtime::kExitFailure;
+  return list;
+}
+
+std::string ToTable(const std::map<std::string, Process>& processes) {
+  std::vector<std::vector<std::string>> rows = {
+      {"process", "role", "data centre", "version", "reported ms ago"}};
+  for (const auto& [name, it] : processes) {
+    rows.push_back({name, it.role, it.data_centre, std::to_string(it.version),
+                    std::to_string(it.silent_ms)});
   }
-  fmt::print("{}", response.body);
+  return FormatTable(rows);
+}
+
+}  // namespace
+
+int Status(const Arguments& arguments, const Console& console) {
+  common::Endpoint admin = kDefaultAdmin;
+  std::string output = "table";
+  const auto ended = ReadCommandLine(
+      {.command = "shallotbeam status",
+       .options = {settings::Address("admin", "admin address of a router",
+                                     &admin),
+                   OutputOption(&output)}},
+      arguments, console, nullptr);
+  if (ended) return *ended;
+  const auto status = FetchStatus(admin);
+  if (!status.ok()) {
+    fmt::print(console.err, "shallotbeam status: {}\n",
+               common::MessageOf(status.status()));
+    return runtime::kExitUnavailable;
+  }
+  if (output == "json") {
+    fmt::print(console.out, "{}\n", status->dump(2));
+    return runtime::kExitOk;
+  }
+  fmt::print(console.out, "{} {}  version {}  requests {}  draining {}\n",
+             Cell(*status, "role"), Cell(*status, "name"),
+             Cell(*status, "config_version"), Cell(*status, "requests"),
+             Cell(*status, "draining"));
+  fmt::print(
+      console.out, "{}{}{}",
+      Section(*status, "queues", {"pool", "workspace", "waiting"}),
+      Section(*status, "shares",
+              {"pool", "workspace", "weight", "net_service", "virtual_time"}),
+      Section(*status, "agents",
+              {"name", "pool", "upstream", "alive", "leaving", "free_slots",
+               "in_flight"}));
   return runtime::kExitOk;
 }
 
+int ConfigStatus(const Arguments& arguments, const Console& console) {
+  std::vector<common::Endpoint> admins = {kDefaultAdmin};
+  std::string output = "table";
+  const auto ended = ReadCommandLine(
+      {.command = "shallotbeam config status",
+       .options = {settings::Addresses("admin", "admin address of a router",
+                                       &admins),
+                   OutputOption(&output)}},
+      arguments, console, nullptr);
+  if (ended) return *ended;
+  std::map<std::string, Process> processes;
+  bool all_answered = true;
+  for (const common::Endpoint& admin : admins) {
+    const auto status = FetchStatus(admin);
+    if (status.ok()) {
+      Collect(*status, &processes);
+      continue;
+    }
+    all_answered = false;
+    fmt::print(console.err, "shallotbeam config status: {}\n",
+               common::MessageOf(status.status()));
+  }
+  std::set<std::uint64_t> versions;
+  for (const auto& [name, process] : processes)
+    versions.insert(process.version);
+  if (output == "json") {
+    fmt::print(console.out, "{}\n", ToJson(processes).dump(2));
+  } else {
+    fmt::print(console.out, "{}{} processes, {} {}\n", ToTable(processes),
+               processes.size(), versions.size(),
+               versions.size() == 1 ? "version" : "versions");
+  }
+  if (!all_answered) return runtime::kExitUnavailable;
+  return versions.size() == 1 ? runtime::kExitOk : runtime::kExitFailure;
+}
+
 }  // namespace shallotbeam::commands
