Choose store readers per data centre and report readiness

Cause: every router read the store each second; /readyz did not exist; a value that could not be parsed was parsed and logged again at every heartbeat; a host marked as leaving in the platform's list was not noticed. Change: two readers per data centre by rendezvous hashing of the routers heard of, with jitter; routers send each other heartbeats; /readyz on the admin address of both programs; /status lists the version of every process heard of and a rejected version; the host list is polled every 500 ms.

--- a/Source/Core/Runtime/AdminServer.cpp
+++ b/Source/Core/Runtime/AdminServer.cpp
@@ -39,7 +39,9 @@
       [on_status = std::move(on_status)](
           std::shared_ptr<transport::HttpExchange> exchange) {
         const std::string& target = exchange->Request().target;
-        if (target == "/status") return on_status(std::move(exchange));
+        if (target == "/status" || target == "/readyz") {
+          return on_status(std::move(exchange));
+        }
         const int status = target == "/livez" ? 200 : 404;
         exchange->Send({.status = status, .headers = {}, .body = "\n"});
       });
@@ -87,4 +89,41 @@
                      {"shares", SharesOf(state.ledger)}});
 }
 
+void AddConfigReport(const ConfigHolder& config, const PeerDirectory& peers,
+                     bool ready, common::TimePoint now, HttpResponse* status) {
+  json body = json::parse(status->body, nullptr, /*allow_exceptions=*/false);
+  if (!body.is_object()) return;
+  json processes = json::array();
+  for (const auto& [name, peer] : peers.heard) {
+    const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - peer.last_heard);
+    processes.push_back(
+        {{"name", name.value},
+         {"role", peer.role == protocol::Role::kRouter ? "router" : "agent"},
+         {"data_centre", peer.data_centre.value},
+         {"config_version", common::ToNumber(peer.config_version)},
+         {"silent_ms", silent.count()}});
+  }
+  body["ready"] = ready;
+  body["config_rejected"] = {
+      {"version", common::ToNumber(config.RejectedVersion())},
+      {"cause", config.RejectedVersion() == common::ConfigVersion::kNone
+                    ? ""
+                    : config.RejectionCause()}};
+  body["processes"] = std::move(processes);
+  status->body = body.dump(2) + "\n";
+}
+
+HttpResponse ReadyResponse(const ConfigHolder& config, bool ready,
+                           bool draining) {
+  constexpr int kServiceUnavailable = 503;
+  if (ready && !draining) return {.headers = {}, .body = "ready\n"};
+  std::string cause = "listening to peers";
+  if (config.Version() == common::ConfigVersion::kNone) {
+    cause = "no_configuration";
+  }
+  if (draining) cause = "draining";
+  return {.status = kServiceUnavailable, .headers = {}, .body = cause + "\n"};
+}
+
 }  // namespace shallotbeam::runtime
--- a/Source/Core/Runtime/AdminServer.h
+++ b/Source/Core/Runtime/AdminServer.h
@@ -8,15 +8,18 @@
 #include "Admission/Agent.h"
 #include "Common/Types.h"
 #include "Routing/Router.h"
+#include "Runtime/ConfigHolder.h"
+#include "Runtime/PeerDirectory.h"
 #include "Transport/HttpServer.h"
 #include "absl/status/statusor.h"
 
-// HTTP for operators: /livez and /status.
+// HTTP for operators: /livez, /readyz and /status.
 namespace shallotbeam::runtime {
 
 using StatusHandler =
     std::function<void(std::shared_ptr<transport::HttpExchange>)>;
 
+// `on_status` answers /status and /readyz.
 absl::StatusOr<std::shared_ptr<transport::HttpServer>> ListenAdmin(
     boost::asio::io_context& context, const common::Endpoint& endpoint,
     StatusHandler on_status);
@@ -24,6 +27,16 @@
 transport::HttpResponse RouterStatus(const routing::RouterState& state);
 transport::HttpResponse AgentStatus(const admission::AgentState& state);
 
+// Adds the configuration to a /status response: whether the process is ready,
+// a rejected version, and the version of each process that it hears of.
+void AddConfigReport(const ConfigHolder& config, const PeerDirectory& peers,
+                     bool ready, common::TimePoint now,
+                     transport::HttpResponse* status);
+
+// Answers /readyz: 200, or 503 with the cause.
+transport::HttpResponse ReadyResponse(const ConfigHolder& config, bool ready,
+                                      bool draining);
+
 }  // namespace shallotbeam::runtime
 
 #endif  // SHALLOTBEAM_CORE_RUNTIME_ADMINSERVER_H_
--- a/Source/Core/Runtime/AgentEngine.cpp
+++ b/Source/Core/Runtime/AgentEngine.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Common/Logging.h"
+#include "Runtime/AdminServer.h"
 #include "Runtime/Refusals.h"
 #include "Runtime/UpstreamCall.h"
 
@@ -22,7 +23,8 @@
                          AgentEnvironment environment)
     : environment_(std::move(environment)),
       state_(admission::MakeAgent(options)),
-      peers_(options.name, options.incarnation, environment_.mailbox) {
+      peers_(options.name, options.incarnation, environment_.mailbox),
+      readiness_{.started = environment_.clock.Now()} {
   for (const common::Endpoint& seed : options.seed_routers) {
     peers_.AddSeed(seed);
   }
@@ -53,6 +55,7 @@
 void AgentEngine::OnControlBytes(std::string_view bytes) {
   const auto envelope = peers_.Receive(bytes);
   if (!envelope) return;
+  NotePeer(directory_, *envelope, environment_.clock.Now());
   if (const auto reply = config_.Reply(*envelope)) {
     peers_.Send(envelope->sender, *reply);
   }
@@ -65,6 +68,18 @@
   OnEvent(admission::MessageReceived{.envelope = *envelope});
 }
 
+transport::HttpResponse AgentEngine::OnAdmin(const std::string& target,
+                                             transport::HttpResponse status) {
+  const common::TimePoint now = environment_.clock.Now();
+  ForgetPeers(directory_, now);
+  const bool ready = CheckReady(readiness_, config_, directory_, now);
+  if (target == "/readyz") {
+    return ReadyResponse(config_, ready, state_.draining);
+  }
+  AddConfigReport(config_, directory_, ready, now, &status);
+  return status;
+}
+
 void AgentEngine::OnResult(const std::string& key,
                            transport::HttpResponse result) {
   results_[key] = std::move(result);
--- a/Source/Core/Runtime/AgentEngine.h
+++ b/Source/Core/Runtime/AgentEngine.h
@@ -10,7 +10,9 @@
 #include "Admission/Agent.h"
 #include "Common/Clock.h"
 #include "Runtime/ConfigHolder.h"
+#include "Runtime/PeerDirectory.h"
 #include "Runtime/PeerLink.h"
+#include "Runtime/StoreReaders.h"
 #include "Transport/HttpClient.h"
 #include "Transport/HttpServer.h"
 #include "Transport/Mailbox.h"
@@ -41,6 +43,10 @@
   void OnControlBytes(std::string_view bytes);
   void OnResult(const std::string& key, transport::HttpResponse result);
 
+  // Answers /readyz, or adds the configuration to the response of /status.
+  transport::HttpResponse OnAdmin(const std::string& target,
+                                  transport::HttpResponse status);
+
   const admission::AgentState& State() const { return state_; }
 
  private:
@@ -66,6 +72,8 @@
   admission::AgentState state_;
   ConfigHolder config_;
   PeerLink peers_;
+  PeerDirectory directory_;
+  Readiness readiness_;
   std::map<admission::AttemptId, Call> calls_;
   std::unordered_map<std::string, transport::HttpResponse> results_;
 };
--- a/Source/Core/Runtime/AgentProcess.cpp
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -48,21 +48,23 @@
 
 caf::behavior AgentActor(caf::event_based_actor* /*self*/,
                          const std::shared_ptr<AgentEngine>& engine) {
-  return {[engine](const OfferMessage& message) {
-            engine->OnOffer(message.exchange, message.offer);
-          },
-          [engine](const AgentEventMessage& message) {
-            engine->OnEvent(message.event);
-          },
-          [engine](const AgentControlMessage& message) {
-            engine->OnControlBytes(message.bytes);
-          },
-          [engine](const ResultMessage& message) {
-            engine->OnResult(message.key, message.result);
-          },
-          [engine](const AgentStatusMessage& message) {
-            message.exchange->Send(AgentStatus(engine->State()));
-          }};
+  return {
+      [engine](const OfferMessage& message) {
+        engine->OnOffer(message.exchange, message.offer);
+      },
+      [engine](const AgentEventMessage& message) {
+        engine->OnEvent(message.event);
+      },
+      [engine](const AgentControlMessage& message) {
+        engine->OnControlBytes(message.bytes);
+      },
+      [engine](const ResultMessage& message) {
+        engine->OnResult(message.key, message.result);
+      },
+      [engine](const AgentStatusMessage& message) {
+        message.exchange->Send(engine->OnAdmin(
+            message.exchange->Request().target, AgentStatus(engine->State())));
+      }};
 }
 
 void HandleOffer(const caf::actor& agent,
--- a/Source/Core/Runtime/ConfigHolder.cpp
+++ b/Source/Core/Runtime/ConfigHolder.cpp
@@ -1,6 +1,10 @@
 #include "Runtime/ConfigHolder.h"
 
+#include <algorithm>
+
+#include "Common/Hash.h"
 #include "Common/Logging.h"
+#include "Common/StatusText.h"
 #include "Config/Document.h"
 
 namespace shallotbeam::runtime {
@@ -8,11 +12,23 @@
 std::optional<config::FleetConfig> ConfigHolder::Offer(
     common::ConfigVersion version, const std::string& document) {
   if (version <= version_) return std::nullopt;
+  // Polling and heartbeats bring a rejected value again and again. The hash
+  // lets an intact copy of the same version through.
+  const std::uint64_t hash = common::Hash64(document);
+  if (version == rejected_version_ && hash == rejected_hash_) {
+    return std::nullopt;
+  }
   auto parsed = config::ParseDocument(document);
   if (!parsed.ok()) {
+    if (version >= rejected_version_) {
+      rejected_version_ = version;
+      rejected_hash_ = hash;
+      rejection_cause_ = std::string(common::MessageOf(parsed.status()));
+    }
     common::Log(common::Subsystem::kConfig, common::LogLevel::kError,
-                "event=config_rejected version={} error=\"{}\"",
-                common::ToNumber(version), parsed.status().ToString());
+                "event=config_rejected version={} in_force={} error=\"{}\"",
+                common::ToNumber(version), common::ToNumber(version_),
+                common::MessageOf(parsed.status()));
     return std::nullopt;
   }
   parsed->version = version;
@@ -30,7 +46,8 @@
     const protocol::Envelope& envelope) const {
   if (const auto* heartbeat =
           std::get_if<protocol::Heartbeat>(&envelope.body)) {
-    if (heartbeat->config_version <= version_) return std::nullopt;
+    const common::ConfigVersion seen = std::max(version_, rejected_version_);
+    if (heartbeat->config_version <= seen) return std::nullopt;
     return protocol::ConfigRequest{.have = version_};
   }
   if (const auto* request =
@@ -41,4 +58,9 @@
   return std::nullopt;
 }
 
+common::ConfigVersion ConfigHolder::RejectedVersion() const {
+  return rejected_version_ > version_ ? rejected_version_
+                                      : common::ConfigVersion::kNone;
+}
+
 }  // namespace shallotbeam::runtime
--- a/Source/Core/Runtime/ConfigHolder.h
+++ b/Source/Core/Runtime/ConfigHolder.h
@@ -15,8 +15,9 @@
 
 class ConfigHolder {
  public:
-  // Takes over a document of a higher version; returns its content then. A
-  // document that can't be parsed is logged and left out.
+  // Takes over a published value of a higher version; returns its content then.
+  // A value that can't be parsed is logged once and left out; the version in
+  // force stays.
   std::optional<config::FleetConfig> Offer(common::ConfigVersion version,
                                            const std::string& document);
 
@@ -25,11 +26,18 @@
 
   common::ConfigVersion Version() const { return version_; }
   const config::FleetConfig& Config() const { return config_; }
+  // The highest version that could not be parsed; kNone if there is none above
+  // the version in force.
+  common::ConfigVersion RejectedVersion() const;
+  const std::string& RejectionCause() const { return rejection_cause_; }
 
  private:
   common::ConfigVersion version_ = common::ConfigVersion::kNone;
   std::string document_;
   config::FleetConfig config_;
+  common::ConfigVersion rejected_version_ = common::ConfigVersion::kNone;
+  std::uint64_t rejected_hash_ = 0;
+  std::string rejection_cause_;
 };
 
 }  // namespace shallotbeam::runtime
--- a/Source/Core/Runtime/PeerLink.cpp
+++ b/Source/Core/Runtime/PeerLink.cpp
@@ -15,6 +15,11 @@
   addresses_[common::ProcessName(common::ToString(endpoint))] = endpoint;
 }
 
+void PeerLink::AddNamed(const common::ProcessName& name,
+                        const common::Endpoint& endpoint) {
+  addresses_.emplace(name, endpoint);
+}
+
 void PeerLink::Send(const common::ProcessName& to, const protocol::Body& body) {
   const auto it = addresses_.find(to);
   if (it == addresses_.end()) return;
--- a/Source/Core/Runtime/PeerLink.h
+++ b/Source/Core/Runtime/PeerLink.h
@@ -22,6 +22,10 @@
   // A peer whose name is its address, for peers known by settings only.
   void AddSeed(const common::Endpoint& endpoint);
 
+  // A peer named by another one. Its own heartbeat takes precedence.
+  void AddNamed(const common::ProcessName& name,
+                const common::Endpoint& endpoint);
+
   void Send(const common::ProcessName& to, const protocol::Body& body);
 
   // Decodes a message and notes the sender's address. Malformed messages are
--- a/Source/Core/Runtime/RouterEngine.cpp
+++ b/Source/Core/Runtime/RouterEngine.cpp
@@ -2,10 +2,13 @@
 
 #include <fmt/format.h>
 
+#include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "Common/Logging.h"
+#include "Common/StatusText.h"
+#include "Runtime/AdminServer.h"
 #include "Runtime/DispatchCall.h"
 #include "Runtime/HeaderNames.h"
 #include "Runtime/Refusals.h"
@@ -14,7 +17,10 @@
 
 namespace {
 
-constexpr common::Duration kConfigPollInterval = std::chrono::seconds(1);
+// A leaving host must get no new work within 2 s, lag of the list included.
+constexpr common::Duration kHostsInterval = std::chrono::milliseconds(500);
+// Between routers only; agents get heartbeats from the routing state.
+constexpr common::Duration kGreetingInterval = std::chrono::milliseconds(500);
 
 routing::StoreOutcome ToOutcome(platform::SwapOutcome outcome) {
   switch (outcome) {
@@ -30,11 +36,33 @@
 
 }  // namespace
 
+routing::HostsListed ToProcesses(const std::vector<platform::Host>& hosts,
+                                 const routing::AgentTable& agents) {
+  std::map<std::string, bool> leaving;
+  for (const platform::Host& it : hosts) {
+    leaving[it.address] = it.state == platform::HostState::kLeaving;
+  }
+  routing::HostsListed listed;
+  for (const auto& [name, agent] : agents.agents) {
+    const auto it = leaving.find(agent.data.address);
+    if (it == leaving.end()) continue;
+    listed.hosts.push_back({.process = name, .leaving = it->second});
+  }
+  return listed;
+}
+
 RouterEngine::RouterEngine(const routing::RouterOptions& options,
                            RouterEnvironment environment)
     : environment_(std::move(environment)),
       state_(routing::MakeRouter(options)),
-      peers_(options.name, options.incarnation, environment_.mailbox) {}
+      peers_(options.name, options.incarnation, environment_.mailbox),
+      polling_(
+          MakeConfigPolling({.name = options.name,
+                             .data_centre = options.data_centre,
+                             .has_seeds = !environment_.seed_routers.empty(),
+                             .seed = options.seed},
+                            environment_.clock.Now())),
+      readiness_{.started = environment_.clock.Now()} {}
 
 void RouterEngine::OnCaller(std::shared_ptr<transport::HttpExchange> exchange,
                             const routing::RouterEvent& event,
@@ -65,6 +93,7 @@
 void RouterEngine::OnControlBytes(std::string_view bytes) {
   const auto envelope = peers_.Receive(bytes);
   if (!envelope) return;
+  NotePeer(directory_, *envelope, environment_.clock.Now());
   if (const auto reply = config_.Reply(*envelope)) {
     peers_.Send(envelope->sender, *reply);
   }
@@ -77,31 +106,77 @@
   OnEvent(routing::MessageReceived{.envelope = *envelope});
 }
 
-void RouterEngine::OnStoredConfig(const platform::StoredValue& stored) {
-  config_poll_in_flight_ = false;
-  const auto config = config_.Offer(
-      static_cast<common::ConfigVersion>(stored.revision), stored.value);
+void RouterEngine::OnStoredConfig(const platform::ReadResult& read) {
+  EndConfigRead(polling_);
+  if (!read.status.ok()) return;
+  readiness_.store_read = true;
+  const auto config =
+      config_.Offer(static_cast<common::ConfigVersion>(read.stored.revision),
+                    read.stored.value);
   if (config) OnEvent(routing::ConfigReceived{.config = *config});
 }
 
+void RouterEngine::OnHosts(const platform::HostsResult& hosts) {
+  hosts_read_in_flight_ = false;
+  if (!hosts.ok()) {
+    common::Log(common::Subsystem::kMembership, common::LogLevel::kWarning,
+                "event=host_list_unread error=\"{}\"",
+                common::MessageOf(hosts.status()));
+    return;
+  }
+  OnEvent(ToProcesses(*hosts, state_.agents));
+}
+
+transport::HttpResponse RouterEngine::OnAdmin(const std::string& target,
+                                              transport::HttpResponse status) {
+  const common::TimePoint now = environment_.clock.Now();
+  const bool ready = CheckReady(readiness_, config_, directory_, now);
+  if (target == "/readyz") {
+    return ReadyResponse(config_, ready, state_.draining);
+  }
+  AddConfigReport(config_, directory_, ready, now, &status);
+  return status;
+}
+
 void RouterEngine::OnTick() {
   PollStoredConfig();
+  PollHosts();
+  GreetRouters();
   OnEvent(routing::Tick{});
 }
 
 void RouterEngine::PollStoredConfig() {
+  if (!BeginConfigRead(polling_, directory_, environment_.clock.Now())) return;
+  environment_.store.Read(kConfigStoreKey, environment_.post_stored_config);
+}
+
+void RouterEngine::PollHosts() {
   const common::TimePoint now = environment_.clock.Now();
-  const bool due = now - config_polled_ >= kConfigPollInterval;
-  if (!due || config_poll_in_flight_) return;
-  config_polled_ = now;
-  config_poll_in_flight_ = true;
-  environment_.store.Read(
-      kConfigStoreKey,
-      [post = environment_.post_stored_config](platform::ReadResult result) {
-        // Revision 0 is never taken over.
-        if (!result.status.ok()) result.stored = {};
-        post(std::move(result.stored));
-      });
+  if (environment_.hosts == nullptr || hosts_read_in_flight_) return;
+  if (now < next_hosts_read_) return;
+  next_hosts_read_ = now + kHostsInterval;
+  hosts_read_in_flight_ = true;
+  environment_.hosts->List(environment_.post_hosts);
+}
+
+// Routers hear of each other so that they agree on the readers of the store and
+// pass the configuration on.
+void RouterEngine::GreetRouters() {
+  const common::TimePoint now = environment_.clock.Now();
+  if (now < next_greeting_) return;
+  next_greeting_ = now + kGreetingInterval;
+  ForgetPeers(directory_, now);
+  const routing::RouterOptions& options = state_.options;
+  const protocol::Heartbeat heartbeat{.role = protocol::Role::kRouter,
+                                      .data_centre = options.data_centre,
+                                      .control = options.control,
+                                      .config_version = config_.Version()};
+  for (const auto& [name, control] :
+       RouterAddresses(directory_, environment_.seed_routers)) {
+    if (control == options.control) continue;
+    peers_.AddNamed(name, control);
+    peers_.Send(name, heartbeat);
+  }
 }
 
 void RouterEngine::Do(const routing::DispatchRequest& action) {
--- a/Source/Core/Runtime/RouterEngine.h
+++ b/Source/Core/Runtime/RouterEngine.h
@@ -5,12 +5,16 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "Common/Clock.h"
+#include "Platform/HostList.h"
 #include "Platform/KeyValueStore.h"
 #include "Routing/Router.h"
 #include "Runtime/ConfigHolder.h"
+#include "Runtime/PeerDirectory.h"
 #include "Runtime/PeerLink.h"
+#include "Runtime/StoreReaders.h"
 #include "Transport/HttpClient.h"
 #include "Transport/HttpServer.h"
 #include "Transport/Mailbox.h"
@@ -25,10 +29,18 @@
   transport::Mailbox& mailbox;
   platform::KeyValueStore& store;
   std::function<void(routing::RouterEvent)> post_event;
-  std::function<void(platform::StoredValue)> post_stored_config;
+  std::function<void(platform::ReadResult)> post_stored_config;
   std::function<void()> on_drained;
+  platform::HostList* hosts = nullptr;  // absent: the list is not read
+  std::function<void(platform::HostsResult)> post_hosts;
+  std::vector<common::Endpoint> seed_routers = {};
 };
 
+// The platform lists hosts, routing knows processes: an agent leaves with the
+// host that has its address.
+routing::HostsListed ToProcesses(const std::vector<platform::Host>& hosts,
+                                 const routing::AgentTable& agents);
+
 // Owns the state of a router and carries out its actions. Used by one thread.
 class RouterEngine {
  public:
@@ -39,7 +51,11 @@
                 const routing::RouterEvent& event, common::RequestId id);
   void OnEvent(const routing::RouterEvent& event);
   void OnControlBytes(std::string_view bytes);
-  void OnStoredConfig(const platform::StoredValue& stored);
+  void OnStoredConfig(const platform::ReadResult& read);
+  void OnHosts(const platform::HostsResult& hosts);
+  // Answers /readyz, or adds the configuration to the response of /status.
+  transport::HttpResponse OnAdmin(const std::string& target,
+                                  transport::HttpResponse status);
   void OnTick();
 
   const routing::RouterState& State() const { return state_; }
@@ -66,14 +82,20 @@
   void EndCall(common::RequestId id);
   void FailCall(common::RequestId id, const common::Refusal& refusal);
   void PollStoredConfig();
+  void PollHosts();
+  void GreetRouters();
 
   RouterEnvironment environment_;
   routing::RouterState state_;
   ConfigHolder config_;
   PeerLink peers_;
   std::unordered_map<common::RequestId, Call> calls_;
-  common::TimePoint config_polled_;
-  bool config_poll_in_flight_ = false;
+  PeerDirectory directory_;
+  ConfigPolling polling_;
+  Readiness readiness_;
+  common::TimePoint next_hosts_read_;
+  bool hosts_read_in_flight_ = false;
+  common::TimePoint next_greeting_;
 };
 
 }  // namespace shallotbeam::runtime
--- a/Source/Core/Runtime/RouterProcess.cpp
+++ b/Source/Core/Runtime/RouterProcess.cpp
@@ -8,6 +8,7 @@
 
 #include "Common/Logging.h"
 #include "Platform/EtcdStore.h"
+#include "Platform/HostList.h"
 #include "Runtime/AdminServer.h"
 #include "Runtime/CallerRequest.h"
 #include "Runtime/ProcessHost.h"
@@ -29,7 +30,10 @@
   std::string bytes;
 };
 struct StoredConfigMessage {
-  platform::StoredValue stored;
+  platform::ReadResult read;
+};
+struct HostsMessage {
+  platform::HostsResult hosts;
 };
 struct RouterTickMessage {};
 struct RouterStatusMessage {
@@ -43,6 +47,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::RouterEventMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::RouterControlMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::StoredConfigMessage)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::HostsMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::RouterTickMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::RouterStatusMessage)
 
@@ -52,22 +57,25 @@
 
 caf::behavior RouterActor(caf::event_based_actor* /*self*/,
                           const std::shared_ptr<RouterEngine>& engine) {
-  return {[engine](const CallerMessage& message) {
-            engine->OnCaller(message.exchange, message.event, message.id);
-          },
-          [engine](const RouterEventMessage& message) {
-            engine->OnEvent(message.event);
-          },
-          [engine](const RouterControlMessage& message) {
-            engine->OnControlBytes(message.bytes);
-          },
-          [engine](const StoredConfigMessage& message) {
-            engine->OnStoredConfig(message.stored);
-          },
-          [engine](const RouterTickMessage&) { engine->OnTick(); },
-          [engine](const RouterStatusMessage& message) {
-            message.exchange->Send(RouterStatus(engine->State()));
-          }};
+  return {
+      [engine](const CallerMessage& message) {
+        engine->OnCaller(message.exchange, message.event, message.id);
+      },
+      [engine](const RouterEventMessage& message) {
+        engine->OnEvent(message.event);
+      },
+      [engine](const RouterControlMessage& message) {
+        engine->OnControlBytes(message.bytes);
+      },
+      [engine](const StoredConfigMessage& message) {
+        engine->OnStoredConfig(message.read);
+      },
+      [engine](const HostsMessage& message) { engine->OnHosts(message.hosts); },
+      [engine](const RouterTickMessage&) { engine->OnTick(); },
+      [engine](const RouterStatusMessage& message) {
+        message.exchange->Send(engine->OnAdmin(
+            message.exchange->Request().target, RouterStatus(engine->State())));
+      }};
 }
 
 // Parses a caller's request on the network thread and hands it to the actor.
@@ -110,6 +118,7 @@
   caf::actor_system actors(actor_config);
   transport::HttpClient client(host.Context());
   platform::EtcdStore store(client, {.endpoint = settings.platform});
+  platform::HttpHostList hosts(client, {.endpoint = settings.hosts});
 
   // Set before any message can arrive through it.
   const auto router = std::make_shared<caf::actor>();
@@ -131,18 +140,24 @@
       .seed = common::ToNumber(incarnation),
       .drain_deadline = settings.drain_deadline};
   const auto engine = std::make_shared<RouterEngine>(
-      options, RouterEnvironment{
-                   .clock = clock,
-                   .client = client,
-                   .mailbox = **mailbox,
-                   .store = store,
-                   .post_event = post_event,
-                   .post_stored_config =
-                       [router](platform::StoredValue stored) {
-                         caf::anon_send(*router,
-                                        StoredConfigMessage{std::move(stored)});
-                       },
-                   .on_drained = [&host] { host.Stop(); }});
+      options,
+      RouterEnvironment{
+          .clock = clock,
+          .client = client,
+          .mailbox = **mailbox,
+          .store = store,
+          .post_event = post_event,
+          .post_stored_config =
+              [router](platform::ReadResult read) {
+                caf::anon_send(*router, StoredConfigMessage{std::move(read)});
+              },
+          .on_drained = [&host] { host.Stop(); },
+          .hosts = settings.hosts.address.empty() ? nullptr : &hosts,
+          .post_hosts =
+              [router](platform::HostsResult listed) {
+                caf::anon_send(*router, HostsMessage{std::move(listed)});
+              },
+          .seed_routers = settings.routers});
   *router = actors.spawn(RouterActor, engine);
 
   const auto callers = transport::HttpServer::Listen(
