--- a/Source/Core/Runtime/AgentProcess.cpp
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -48,21 +48,23 @@
 
 caf::behavior AgentActor(caf::event_based_actor* /*self*/,
                          const std::shared_ptr<AgentEngine>& engine) {
-  return {[engine](const OfferMessage& message) {
-            engine->OnOffer(message.exchange, message.offer);
-          },
-          [engine](const AgentEventMessage& message) {
-            engine->OnEvent(message.event);
-          },
-          [engine](const AgentControlMessage& message) {
-            engine->OnControlBytes(message.bytes);
-          },
-          [engine](const ResultMessage& message) {
-            engine->OnResult(message.key, message.result);
-          },
-          [engine](const AgentStatusMessage& message) {
-            message.exchange->Send(AgentStatus(engine->State()));
-          }};
+  return {
+      [engine](const OfferMessage& message) {
+        engine->OnOffer(message.exchange, message.offer);
+      },
+      [engine](const AgentEventMessage& message) {
+        engine->OnEvent(message.event);
+      },
+      [engine](const AgentControlMessage& message) {
+        engine->OnControlBytes(message.bytes);
+      },
+      [engine](const ResultMessage& message) {
+        engine->OnResult(message.key, message.result);
+      },
+      [engine](const AgentStatusMessage& message) {
+        message.exchange->Send(engine->OnAdmin(
+            message.exchange->Request().target, AgentStatus(engine->State())));
+      }};
 }
 
 void HandleOffer(const caf::actor& agent,
@@ -96,14 +98,16 @@
       });
   if (!mailbox.ok()) return mailbox.status();
 
-  const admission::AgentOptions options{.name = settings.name,
-                                        .incarnation = incarnation,
-                                        .data_centre = settings.data_centre,
-                                        .pool = settings.pool,
-                                        .upstream = settings.upstream_name,
-                                        .control = settings.control,
-                                        .data = settings.data,
-                                        .seed_routers = settings.routers};
+  const admission::AgentOptions options{
+      .name = settings.name,
+      .incarnation = incarnation,
+      .data_centre = settings.data_centre,
+      .pool = settings.pool,
+      .upstream = settings.upstream_name,
+      .control = settings.control,
+      .data = settings.data,
+      .seed_routers = settings.routers,
+      .drain_deadline = settings.drain_deadline};
   const auto engine = std::make_shared<AgentEngine>(
       options,
       AgentEnvironment{
