Report control traffic in the admin status

The bytes of control messages were counted by the mailbox but shown nowhere, so a run could not be checked against the limit of 20 KB/s per daemon. The status of routers and agents now has a section "control".

--- a/Source/Core/Runtime/AdminServer.cpp
+++ b/Source/Core/Runtime/AdminServer.cpp
@@ -17,6 +17,14 @@
   return response;
 }
 
+json TrafficOf(const transport::TrafficCount& control) {
+  return {{"messages_sent", control.messages_sent},
+          {"bytes_sent", control.bytes_sent},
+          {"messages_received", control.messages_received},
+          {"bytes_received", control.bytes_received},
+          {"messages_dropped", control.messages_dropped}};
+}
+
 json SharesOf(const fairness::ShareLedger& ledger) {
   json shares = json::array();
   for (const auto& [key, share] : ledger.shares) {
@@ -45,7 +53,8 @@
       });
 }
 
-HttpResponse RouterStatus(const routing::RouterState& state) {
+HttpResponse RouterStatus(const routing::RouterState& state,
+                          const transport::TrafficCount& control) {
   json agents = json::array();
   for (const auto& [name, agent] : state.agents.agents) {
     agents.push_back({{"name", name.value},
@@ -71,10 +80,12 @@
                      {"draining", state.draining},
                      {"agents", agents},
                      {"queues", queues},
+                     {"control", TrafficOf(control)},
                      {"shares", SharesOf(state.ledger)}});
 }
 
-HttpResponse AgentStatus(const admission::AgentState& state) {
+HttpResponse AgentStatus(const admission::AgentState& state,
+                         const transport::TrafficCount& control) {
   return ToResponse({{"name", state.options.name.value},
                      {"role", "agent"},
                      {"config_version", common::ToNumber(state.config.version)},
@@ -84,6 +95,7 @@
                      {"upstream_up", state.upstream_up},
                      {"draining", state.draining},
                      {"routers", state.routers.size()},
+                     {"control", TrafficOf(control)},
                      {"shares", SharesOf(state.ledger)}});
 }
 
--- a/Source/Core/Runtime/AdminServer.h
+++ b/Source/Core/Runtime/AdminServer.h
@@ -9,6 +9,7 @@
 #include "Common/Types.h"
 #include "Routing/Router.h"
 #include "Transport/HttpServer.h"
+#include "Transport/Mailbox.h"
 #include "absl/status/statusor.h"
 
 // HTTP for operators: /livez and /status.
@@ -21,8 +22,11 @@
     boost::asio::io_context& context, const common::Endpoint& endpoint,
     StatusHandler on_status);
 
-transport::HttpResponse RouterStatus(const routing::RouterState& state);
-transport::HttpResponse AgentStatus(const admission::AgentState& state);
+// `control` counts the control messages of the process since its start.
+transport::HttpResponse RouterStatus(const routing::RouterState& state,
+                                     const transport::TrafficCount& control);
+transport::HttpResponse AgentStatus(const admission::AgentState& state,
+                                    const transport::TrafficCount& control);
 
 }  // namespace shallotbeam::runtime
 
--- a/Source/Core/Runtime/AgentEngine.h
+++ b/Source/Core/Runtime/AgentEngine.h
@@ -42,6 +42,9 @@
   void OnResult(const std::string& key, transport::HttpResponse result);
 
   const admission::AgentState& State() const { return state_; }
+  transport::TrafficCount ControlTraffic() const {
+    return environment_.mailbox.Count();
+  }
 
  private:
   // A router's connection and the call to the upstream that serves it.
--- a/Source/Core/Runtime/AgentProcess.cpp
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -61,7 +61,8 @@
             engine->OnResult(message.key, message.result);
           },
           [engine](const AgentStatusMessage& message) {
-            message.exchange->Send(AgentStatus(engine->State()));
+            message.exchange->Send(
+                AgentStatus(engine->State(), engine->ControlTraffic()));
           }};
 }
 
--- a/Source/Core/Runtime/RouterEngine.h
+++ b/Source/Core/Runtime/RouterEngine.h
@@ -43,6 +43,9 @@
   void OnTick();
 
   const routing::RouterState& State() const { return state_; }
+  transport::TrafficCount ControlTraffic() const {
+    return environment_.mailbox.Count();
+  }
 
  private:
   // A caller's connection and the attempt that serves it.
--- a/Source/Core/Runtime/RouterProcess.cpp
+++ b/Source/Core/Runtime/RouterProcess.cpp
@@ -66,7 +66,8 @@
           },
           [engine](const RouterTickMessage&) { engine->OnTick(); },
           [engine](const RouterStatusMessage& message) {
-            message.exchange->Send(RouterStatus(engine->State()));
+            message.exchange->Send(
+                RouterStatus(engine->State(), engine->ControlTraffic()));
           }};
 }
 
