Add the load and experiment tool

Nothing measured the fleet as real processes. shallotbeam-load starts a local fleet, sends seeded open-loop load, computes fairness gap, utilisation, control traffic, latency and duplicates, and checks the bounds of the experiment.

--- /dev/null
+++ b/Source/TestTools/Load/Measures.cpp
@@ -0,0 +1,332 @@
+#include "Load/Measures.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace shallotbeam::load {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr double kPromptTokensPerCost = 8;
+// Target of the fairness gap beyond one largest request.
+constexpr double kTargetSeconds = 2;
+
+double Seconds(Clock::time_point from, Clock::time_point to) {
+  return std::chrono::duration<double>(to - from).count();
+}
+
+int WaitingIn(const Sample& sample, const std::string& pool) {
+  const auto it = sample.waiting.find(pool);
+  if (it == sample.waiting.end()) return 0;
+  int sum = 0;
+  for (const auto& [name, waiting] : it->second) sum += waiting;
+  return sum;
+}
+
+bool IsBacklogged(const Sample& sample, const std::string& pool,
+                  const std::string& workspace) {
+  const auto it = sample.waiting.find(pool);
+  if (it == sample.waiting.end()) return false;
+  const auto found = it->second.find(workspace);
+  return found != it->second.end() && found->second > 0;
+}
+
+double ServiceIn(const RunRecord& record, const Sample& sample,
+                 const std::string& pool, const std::string& workspace) {
+  double sum = 0;
+  for (const auto& [name, reading] : sample.engines) {
+    if (record.pool_of_engine.at(name) != pool) continue;
+    const auto it = reading.service.find(workspace);
+    if (it != reading.service.end()) sum += it->second;
+  }
+  return sum;
+}
+
+std::vector<const Sample*> SamplesOf(const RunRecord& record,
+                                     const std::string& phase) {
+  std::vector<const Sample*> found;
+  for (const Sample& it : record.samples) {
+    if (it.phase == phase) found.push_back(&it);
+  }
+  std::sort(found.begin(), found.end(),
+            [](const auto* a, const auto* b) { return a->taken < b->taken; });
+  return found;
+}
+
+double WeightOf(const config::FleetConfig& config,
+                const std::string& workspace) {
+  const auto it = config.workspaces.find(common::WorkspaceName(workspace));
+  return it == config.workspaces.end() ? 1 : it->second.weight;
+}
+
+// Largest cost of a request by workspace, as generated in the phase.
+std::map<std::string, double> LargestCosts(const Phase& phase,
+                                           const config::FleetConfig& config,
+                                           const std::string& pool) {
+  std::map<std::string, double> largest;
+  for (const LoadSpec& load : phase.loads) {
+    const auto kind = config.kinds.find(common::KindName(load.kind));
+    if (kind == config.kinds.end() || kind->second.pool.value != pool) continue;
+    const double cost =
+        load.plain
+            ? 1
+            : load.prompt_tokens.high / kPromptTokensPerCost + load.tokens.high;
+    for (const std::string& it : load.workspaces) {
+      largest[it] = std::max(largest[it], cost);
+    }
+  }
+  return largest;
+}
+
+// A time without a break in which both workspaces were backlogged.
+class Stretch {
+ public:
+  void Add(const Sample& sample, double difference, double total,
+           double weights) {
+    if (n_ == 0) {
+      start_ = sample.taken;
+      first_total_ = total;
+      low_ = high_ = difference;
+    }
+    ++n_;
+    end_ = sample.taken;
+    last_total_ = total;
+    low_ = std::min(low_, difference);
+    high_ = std::max(high_, difference);
+    weights_ += weights;
+  }
+
+  double Gap() const { return high_ - low_; }
+  double Length() const { return n_ == 0 ? 0 : Seconds(start_, end_); }
+  // What a workspace of weight 1 earns in a second.
+  double ShareRate() const {
+    if (Length() <= 0 || weights_ <= 0) return 0;
+    return (last_total_ - first_total_) / Length() / (weights_ / n_);
+  }
+
+ private:
+  int n_ = 0;
+  Clock::time_point start_;
+  Clock::time_point end_;
+  double first_total_ = 0;
+  double last_total_ = 0;
+  double low_ = 0;
+  double high_ = 0;
+  double weights_ = 0;  // of the backlogged workspaces, summed over samples
+};
+
+json LatencyJson(const std::vector<double>& latencies) {
+  return {{"p50", Percentile(latencies, 0.50)},
+          {"p95", Percentile(latencies, 0.95)},
+          {"p99", Percentile(latencies, 0.99)},
+          {"count", latencies.size()}};
+}
+
+json KindJson(const ResultKey& key, const KindResult& result) {
+  return {{"workspace", key.workspace},
+          {"kind", key.kind},
+          {"offered", result.offered},
+          {"completed", result.completed},
+          {"in_phase", result.in_phase},
+          {"cost", result.completed_cost},
+          {"gave_up", result.gave_up},
+          {"broken", result.broken},
+          {"wrong", result.wrong},
+          {"unfinished", result.unfinished},
+          {"retries", result.retries},
+          {"refusals", result.refusals},
+          {"latency_ms", LatencyJson(result.latencies_ms)},
+          {"first_byte_ms", LatencyJson(result.first_byte_ms)}};
+}
+
+json OrdersJson(const RunRecord& record) {
+  int duplicates = 0;
+  int false_not_run = 0;
+  int lost = 0;
+  for (const auto& [key, runs] : record.runs_by_key) {
+    if (runs > 1) ++duplicates;
+  }
+  for (const auto& [key, order] : record.orders) {
+    const auto it = record.runs_by_key.find(key);
+    const int runs = it == record.runs_by_key.end() ? 0 : it->second;
+    const bool only_not_run =
+        order.completed == 0 && order.unknown == 0 && order.not_run > 0;
+    if (only_not_run && runs > 0) ++false_not_run;
+    if (order.completed > 0 && runs == 0) ++lost;
+  }
+  return {{"keys", record.orders.size()},
+          {"runs", record.runs_by_key.size()},
+          {"duplicates", duplicates},
+          {"false_not_run", false_not_run},
+          {"completed_without_run", lost}};
+}
+
+json PhaseJson(const Phase& phase, const config::FleetConfig& config,
+               const RunRecord& record) {
+  json kinds = json::array();
+  for (const auto& [key, result] : record.results) {
+    if (key.phase == phase.name) kinds.push_back(KindJson(key, result));
+  }
+  std::set<std::string> pools;
+  for (const auto& [engine, pool] : record.pool_of_engine) pools.insert(pool);
+  json by_pool = json::object();
+  for (const std::string& pool : pools) {
+    const Utilisation use = UtilisationOf(record, phase.name, pool);
+    const FairnessGap gap = FairnessGapOf(
+        record, config, LargestCosts(phase, config, pool), phase.name, pool);
+    by_pool[pool] = {{"utilisation", use.slots},
+                     {"engine_utilisation", use.engines},
+                     {"waiting_seconds", use.seconds},
+                     {"gap", gap.gap},
+                     {"gap_target", gap.target},
+                     {"gap_ratio", gap.target > 0 ? gap.gap / gap.target : 0},
+                     {"gap_seconds", gap.seconds},
+                     {"gap_between", {gap.first, gap.second}}};
+  }
+  return {{"seconds", static_cast<double>(phase.length.count()) / 1000},
+          {"kinds", kinds},
+          {"pools", by_pool}};
+}
+
+}  // namespace
+
+double Percentile(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  const auto rank = static_cast<std::size_t>(
+      std::ceil(share * static_cast<double>(values.size())));
+  const std::size_t index =
+      std::min(values.size(), std::max<std::size_t>(rank, 1)) - 1;
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(index),
+                   values.end());
+  return values[index];
+}
+
+Utilisation UtilisationOf(const RunRecord& record, const std::string& phase,
+                          const std::string& pool) {
+  double busy = 0;
+  double slot_time = 0;
+  double batch_busy = 0;
+  double batch_time = 0;
+  Utilisation use;
+  const auto samples = SamplesOf(record, phase);
+  for (std::size_t i = 1; i < samples.size(); ++i) {
+    const Sample& from = *samples[i - 1];
+    const Sample& to = *samples[i];
+    if (WaitingIn(from, pool) == 0 || WaitingIn(to, pool) == 0) continue;
+    use.seconds += Seconds(from.taken, to.taken);
+    for (const auto& [name, reading] : to.engines) {
+      const auto before = from.engines.find(name);
+      if (record.pool_of_engine.at(name) != pool) continue;
+      if (before == from.engines.end()) continue;
+      const double ms = Seconds(before->second.taken, reading.taken) * 1000;
+      const double slots = (before->second.slots + reading.slots) / 2.0;
+      const double ran = reading.running_ms - before->second.running_ms;
+      if (ran < 0) continue;  // the engine was restarted
+      // More than its slots on one engine doesn't make up for an idle one.
+      busy += std::min(ran, slots * ms);
+      slot_time += slots * ms;
+      batch_busy += reading.batch_ms - before->second.batch_ms;
+      batch_time += reading.batch * ms;
+    }
+  }
+  if (slot_time > 0) use.slots = busy / slot_time;
+  if (batch_time > 0) use.engines = batch_busy / batch_time;
+  return use;
+}
+
+FairnessGap FairnessGapOf(const RunRecord& record,
+                          const config::FleetConfig& config,
+                          const std::map<std::string, double>& largest_cost,
+                          const std::string& phase, const std::string& pool) {
+  FairnessGap worst;
+  double worst_ratio = 0;
+  const auto samples = SamplesOf(record, phase);
+  const auto consider = [&](const Stretch& stretch, const std::string& a,
+                            const std::string& b) {
+    if (stretch.Length() <= 0) return;
+    worst.seconds = std::max(worst.seconds, stretch.Length());
+    const double largest = std::max(largest_cost.at(a) / WeightOf(config, a),
+                                    largest_cost.at(b) / WeightOf(config, b));
+    const double target = largest + kTargetSeconds * stretch.ShareRate();
+    if (stretch.Gap() / target <= worst_ratio) return;
+    worst_ratio = stretch.Gap() / target;
+    worst.gap = stretch.Gap();
+    worst.target = target;
+    worst.first = a;
+    worst.second = b;
+  };
+  for (auto a = largest_cost.begin(); a != largest_cost.end(); ++a) {
+    for (auto b = std::next(a); b != largest_cost.end(); ++b) {
+      Stretch stretch;
+      for (const Sample* sample : samples) {
+        const bool both = IsBacklogged(*sample, pool, a->first) &&
+                          IsBacklogged(*sample, pool, b->first);
+        if (!both) {
+          consider(stretch, a->first, b->first);
+          stretch = {};
+          continue;
+        }
+        double total = 0;
+        double weights = 0;
+        for (const auto& [name, cost] : largest_cost) {
+          total += ServiceIn(record, *sample, pool, name);
+          if (IsBacklogged(*sample, pool, name)) {
+            weights += WeightOf(config, name);
+          }
+        }
+        const double difference = ServiceIn(record, *sample, pool, a->first) /
+                                      WeightOf(config, a->first) -
+                                  ServiceIn(record, *sample, pool, b->first) /
+                                      WeightOf(config, b->first);
+        stretch.Add(*sample, difference, total, weights);
+      }
+      consider(stretch, a->first, b->first);
+    }
+  }
+  return worst;
+}
+
+json MeasureRun(const Experiment& experiment, const config::FleetConfig& config,
+                const RunRecord& record) {
+  json phases = json::object();
+  for (const Phase& it : experiment.phases) {
+    phases[it.name] = PhaseJson(it, config, record);
+  }
+  std::uint64_t wrong = 0;
+  std::uint64_t broken = 0;
+  std::uint64_t unfinished = 0;
+  int starved = 0;
+  constexpr std::uint64_t kEnoughToJudge = 5;
+  for (const auto& [key, result] : record.results) {
+    wrong += result.wrong;
+    broken += result.broken;
+    unfinished += result.unfinished;
+    if (result.offered >= kEnoughToJudge && result.completed == 0) ++starved;
+  }
+  json processes = json::array();
+  for (const ProcessUse& it : record.processes) {
+    processes.push_back(
+        {{"name", it.name},
+         {"role", it.role},
+         {"cpu_percent", it.cpu_percent},
+         {"control_bytes_per_second", it.control_bytes_per_second},
+         {"memory_mb", it.memory_bytes / 1e6}});
+  }
+  return {{"system", record.system},
+          {"phases", phases},
+          {"orders", OrdersJson(record)},
+          {"wrong", wrong},
+          {"broken", broken},
+          {"unfinished", unfinished},
+          {"starved", starved},
+          {"processes", processes},
+          {"processes_ended", record.ended_processes},
+          {"engine_restarts", record.engine_restarts}};
+}
+
+}  // namespace shallotbeam::load
--- /dev/null
+++ b/Source/TestTools/Load/Run.h
@@ -0,0 +1,29 @@
+#ifndef SHALLOTBEAM_TESTTOOLS_LOAD_RUN_H_
+#define SHALLOTBEAM_TESTTOOLS_LOAD_RUN_H_
+
+#include <optional>
+#include <string>
+
+#include "Config/Model.h"
+#include "Load/BaselineProxy.h"
+#include "Load/Experiment.h"
+#include "Load/Fleet.h"
+#include "Load/Measures.h"
+#include "absl/status/statusor.h"
+
+namespace shallotbeam::load {
+
+absl::StatusOr<config::FleetConfig> ReadConfig(const Experiment& experiment);
+
+// Runs the phases of the experiment against a new fleet, or against the engines
+// behind a plain proxy with a policy. Returns kCancelled after SIGINT or
+// SIGTERM and kUnavailable if the fleet doesn't start. All processes have ended
+// when it returns.
+absl::StatusOr<RunRecord> RunExperiment(const Experiment& experiment,
+                                        const config::FleetConfig& config,
+                                        FleetOptions options,
+                                        std::optional<Policy> baseline);
+
+}  // namespace shallotbeam::load
+
+#endif  // SHALLOTBEAM_TESTTOOLS_LOAD_RUN_H_
