--- a/Source/TestTools/Load/Fleet.cpp
+++ b/Source/TestTools/Load/Fleet.cpp
@@ -71,7 +71,7 @@
 }
 
 FleetProcess& Fleet::Add(std::string name, std::string role,
-                         std::string program) {
+                         const std::string& program) {
   FleetProcess process{.name = std::move(name), .role = std::move(role)};
   process.program = options_.programs + "/" + program;
   process.log = options_.work_folder + "/" + process.name + ".log";
--- a/Source/TestTools/Load/Fleet.h
+++ b/Source/TestTools/Load/Fleet.h
@@ -62,7 +62,8 @@
   explicit Fleet(FleetOptions options) : options_(std::move(options)) {}
 
   common::Endpoint NextEndpoint();
-  FleetProcess& Add(std::string name, std::string role, std::string program);
+  FleetProcess& Add(std::string name, std::string role,
+                    const std::string& program);
   absl::Status StartAll(const Experiment& experiment);
   void AddPlatformAndRouters(const FleetSpec& spec);
   void AddPool(const FleetSpec& spec, const PoolSpec& pool);
--- a/Source/TestTools/Load/Measures.cpp
+++ b/Source/TestTools/Load/Measures.cpp
@@ -165,6 +165,24 @@
           {"completed_without_run", lost}};
 }
 
+// Service per weight and waiting requests over time, to look into a gap.
+json SeriesJson(const RunRecord& record, const config::FleetConfig& config) {
+  json series = json::array();
+  for (const Sample& sample : record.samples) {
+    json entry = {{"t", Seconds(record.samples.front().taken, sample.taken)},
+                  {"phase", sample.phase}};
+    for (const auto& [pool, waiting] : sample.waiting) {
+      for (const auto& [name, n] : waiting) {
+        const double service = ServiceIn(record, sample, pool, name);
+        entry["pools"][pool][name] = {
+            {"waiting", n}, {"service", service / WeightOf(config, name)}};
+      }
+    }
+    series.push_back(std::move(entry));
+  }
+  return series;
+}
+
 json PhaseJson(const Phase& phase, const config::FleetConfig& config,
                const RunRecord& record) {
   json kinds = json::array();
@@ -326,7 +344,8 @@
           {"starved", starved},
           {"processes", processes},
           {"processes_ended", record.ended_processes},
-          {"engine_restarts", record.engine_restarts}};
+          {"engine_restarts", record.engine_restarts},
+          {"series", SeriesJson(record, config)}};
 }
 
 }  // namespace shallotbeam::load
