Test the measures and bounds of the load tool

A fault in a measure would let a missed requirement pass. The tests cover percentiles, utilisation, the fairness gap, duplicates, bounds without data and load shapes.

--- /dev/null
+++ b/Source/UnitTests/TestTools/MeasuresTest.cpp
@@ -0,0 +1,175 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Load/Bounds.h"
+#include "Load/Measures.h"
+
+namespace shallotbeam::load {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// One engine of pool "p" with 10 slots, sampled every 100 ms.
+class RecordBuilder {
+ public:
+  RecordBuilder() { record_.pool_of_engine["e"] = "p"; }
+
+  // `running` is the number of busy slots since the previous sample.
+  void Add(double running, std::map<std::string, int> waiting,
+           std::map<std::string, double> service) {
+    now_ += milliseconds(100);
+    running_ms_ += running * 100;
+    Sample sample{.taken = now_, .phase = "x"};
+    sample.waiting["p"] = std::move(waiting);
+    sample.engines["e"] = {.taken = now_,
+                           .running_ms = running_ms_,
+                           .batch_ms = running_ms_,
+                           .batch = 20,
+                           .slots = 10,
+                           .service = std::move(service)};
+    record_.samples.push_back(std::move(sample));
+  }
+
+  const RunRecord& Record() const { return record_; }
+
+ private:
+  RunRecord record_;
+  Clock::time_point now_;
+  double running_ms_ = 0;
+};
+
+config::FleetConfig Weights(double a, double b) {
+  config::FleetConfig config;
+  config.workspaces[common::WorkspaceName("a")].weight = a;
+  config.workspaces[common::WorkspaceName("b")].weight = b;
+  return config;
+}
+
+// Guards against percentiles that are off by one rank at the ends.
+BOOST_AUTO_TEST_CASE(PercentileIsTheNearestRank) {
+  std::vector<double> values;
+  for (int i = 100; i >= 1; --i) values.push_back(i);
+  BOOST_TEST(Percentile(values, 0.50) == 50.0);
+  BOOST_TEST(Percentile(values, 0.95) == 95.0);
+  BOOST_TEST(Percentile(values, 1.0) == 100.0);
+  BOOST_TEST(Percentile({7}, 0.01) == 7.0);
+  BOOST_TEST(Percentile({}, 0.5) == 0.0);
+}
+
+// Guards against idle slots without waiting work counting as a loss, and
+// against idle slots beside waiting work being missed.
+BOOST_AUTO_TEST_CASE(UtilisationCountsOnlyTimeWithWaitingWork) {
+  RecordBuilder builder;
+  builder.Add(0, {}, {});
+  builder.Add(1, {}, {});
+  builder.Add(10, {{"a", 3}}, {});
+  builder.Add(9, {{"a", 3}}, {});
+  builder.Add(7, {{"a", 1}}, {});
+  builder.Add(0, {}, {});
+  const Utilisation use = UtilisationOf(builder.Record(), "x", "p");
+  BOOST_TEST(use.slots == 0.8, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(use.engines == 0.4, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(use.seconds == 0.2, boost::test_tools::tolerance(1e-9));
+}
+
+// Guards against a gap that ignores weights or counts service from a time when
+// only one of the two had work.
+BOOST_AUTO_TEST_CASE(GapIsWeightedAndOnlyWhileBothAreBacklogged) {
+  RecordBuilder builder;
+  builder.Add(10, {{"a", 1}, {"b", 0}}, {{"a", 0}, {"b", 0}});
+  builder.Add(10, {{"a", 1}, {"b", 1}}, {{"a", 500}, {"b", 0}});
+  builder.Add(10, {{"a", 1}, {"b", 1}}, {{"a", 700}, {"b", 100}});
+  builder.Add(10, {{"a", 1}, {"b", 1}}, {{"a", 920}, {"b", 180}});
+  const FairnessGap gap = FairnessGapOf(builder.Record(), Weights(2, 1),
+                                        {{"a", 30}, {"b", 20}}, "x", "p");
+  // Differences of service per weight: 250, 250 and 280.
+  BOOST_TEST(gap.gap == 30.0, boost::test_tools::tolerance(1e-9));
+  // 600 units in 0.2 s over weights of 3: a share of 1000 per second.
+  BOOST_TEST(gap.target == 20 + 2 * 1000.0, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(gap.seconds == 0.2, boost::test_tools::tolerance(1e-9));
+}
+
+json MeasuresWith(std::uint64_t offered, std::uint64_t in_phase, double p95) {
+  const auto kind = [](std::uint64_t n, std::uint64_t done, double latency) {
+    return json{{"workspace", "a"}, {"kind", "k"},
+                {"offered", n},     {"completed", done},
+                {"in_phase", done}, {"latency_ms", {{"p95", latency}}}};
+  };
+  return {
+      {"phases",
+       {{"calm", {{"kinds", {kind(100, 100, 10)}}, {"pools", json::object()}}},
+        {"flood",
+         {{"kinds", {kind(offered, in_phase, p95)}},
+          {"pools", json::object()}}}}},
+      {"orders",
+       {{"duplicates", 0}, {"false_not_run", 0}, {"completed_without_run", 0}}},
+      {"wrong", 0},
+      {"processes_ended", json::array()}};
+}
+
+bool AllMet(const Experiment& experiment, const json& measures) {
+  bool met = true;
+  for (const auto& it : CheckBounds(experiment, measures)) met = met && it.met;
+  return met;
+}
+
+// Guards against a bound that passes although it was missed, or without data.
+BOOST_AUTO_TEST_CASE(BoundsFailWhenMissedOrWithoutData) {
+  Experiment experiment;
+  experiment.bounds = {{.measure = "completed_ratio",
+                        .phase = "flood",
+                        .against = "calm",
+                        .min = 0.95},
+                       {.measure = "p95_ratio",
+                        .phase = "flood",
+                        .against = "calm",
+                        .max = 1.5}};
+  BOOST_TEST(AllMet(experiment, MeasuresWith(100, 96, 15)));
+  BOOST_TEST(!AllMet(experiment, MeasuresWith(100, 94, 15)));
+  BOOST_TEST(!AllMet(experiment, MeasuresWith(100, 96, 15.1)));
+  BOOST_TEST(!AllMet(experiment, MeasuresWith(100, 0, 0)));
+  // Too few requests to judge.
+  BOOST_TEST(!AllMet(experiment, MeasuresWith(5, 5, 10)));
+  experiment.bounds = {
+      {.measure = "utilisation", .phase = "calm", .pool = "p", .min = 0.1}};
+  BOOST_TEST(!AllMet(experiment, MeasuresWith(100, 96, 15)));
+  experiment.bounds = {{.measure = "no such measure", .max = 1}};
+  BOOST_TEST(!AllMet(experiment, MeasuresWith(100, 96, 15)));
+}
+
+// Guards against a run that passes although an order ran twice.
+BOOST_AUTO_TEST_CASE(DuplicatesAndFalseNotRunAreCounted) {
+  RunRecord record;
+  record.runs_by_key = {{"once", 1}, {"twice", 2}, {"denied", 1}};
+  record.orders["once"] = {.completed = 1};
+  record.orders["twice"] = {.completed = 2};
+  record.orders["denied"] = {.not_run = 2};
+  record.orders["phantom"] = {.completed = 1};
+  record.orders["refused"] = {.not_run = 1};
+  const json measures = MeasureRun({}, {}, record);
+  BOOST_TEST(measures["orders"]["duplicates"] == 1);
+  BOOST_TEST(measures["orders"]["false_not_run"] == 1);
+  BOOST_TEST(measures["orders"]["completed_without_run"] == 1);
+  BOOST_TEST(!AllMet({}, measures));
+}
+
+// Guards against load shapes that change the number of requests on average.
+BOOST_AUTO_TEST_CASE(ShapesKeepTheMeanRate) {
+  for (const Shape shape : {Shape::kConstant, Shape::kRamp, Shape::kBurst}) {
+    double sum = 0;
+    constexpr int kSteps = 3000;
+    for (int i = 0; i < kSteps; ++i) {
+      const double share = (i + 0.5) / kSteps;
+      sum += ShapeFactor(shape, share * 30, share);
+    }
+    BOOST_TEST(sum / kSteps == 1.0, boost::test_tools::tolerance(0.01));
+  }
+}
+
+}  // namespace
+
+}  // namespace shallotbeam::load
