Judge a backlog by the oldest wait

The admin status now gives the oldest wait of each queue, and a window between two samples counts only if work waited through all of it. The stretch starts with the first sample of its first window, which is stricter than before. The tests of the measures follow the new rule and cover a queue that held something at both samples only.

--- a/Source/Core/Runtime/AdminServer.cpp
+++ b/Source/Core/Runtime/AdminServer.cpp
@@ -54,6 +54,7 @@
 }
 
 HttpResponse RouterStatus(const routing::RouterState& state,
+                          common::TimePoint now,
                           const transport::TrafficCount& control) {
   json agents = json::array();
   for (const auto& [name, agent] : state.agents.agents) {
@@ -67,10 +68,11 @@
   }
   json queues = json::array();
   for (const auto& [pool, pool_state] : state.pools) {
-    for (const auto& [name, queue] : pool_state.queue.workspaces) {
+    for (const auto& it : routing::SummariseDemand(pool_state.queue, now)) {
       queues.push_back({{"pool", pool.value},
-                        {"workspace", name.value},
-                        {"waiting", queue.waiting}});
+                        {"workspace", it.workspace.value},
+                        {"waiting", it.waiting},
+                        {"oldest_wait_ms", it.oldest_wait.count()}});
     }
   }
   return ToResponse({{"name", state.options.name.value},
--- a/Source/Core/Runtime/AdminServer.h
+++ b/Source/Core/Runtime/AdminServer.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "Admission/Agent.h"
+#include "Common/Clock.h"
 #include "Common/Types.h"
 #include "Routing/Router.h"
 #include "Transport/HttpServer.h"
@@ -24,6 +25,7 @@
 
 // `control` counts the control messages of the process since its start.
 transport::HttpResponse RouterStatus(const routing::RouterState& state,
+                                     common::TimePoint now,
                                      const transport::TrafficCount& control);
 transport::HttpResponse AgentStatus(const admission::AgentState& state,
                                     const transport::TrafficCount& control);
--- a/Source/Core/Runtime/RouterEngine.h
+++ b/Source/Core/Runtime/RouterEngine.h
@@ -43,6 +43,7 @@
   void OnTick();
 
   const routing::RouterState& State() const { return state_; }
+  common::TimePoint Now() const { return environment_.clock.Now(); }
   transport::TrafficCount ControlTraffic() const {
     return environment_.mailbox.Count();
   }
--- a/Source/Core/Runtime/RouterProcess.cpp
+++ b/Source/Core/Runtime/RouterProcess.cpp
@@ -66,8 +66,8 @@
           },
           [engine](const RouterTickMessage&) { engine->OnTick(); },
           [engine](const RouterStatusMessage& message) {
-            message.exchange->Send(
-                RouterStatus(engine->State(), engine->ControlTraffic()));
+            message.exchange->Send(RouterStatus(engine->State(), engine->Now(),
+                                                engine->ControlTraffic()));
           }};
 }
 
--- a/Source/TestTools/Load/BaselineProxy.cpp
+++ b/Source/TestTools/Load/BaselineProxy.cpp
@@ -67,6 +67,7 @@
   }
   auto job = std::make_shared<Job>();
   job->exchange = exchange;
+  job->arrived = std::chrono::steady_clock::now();
   job->workspace = HeaderOf(request, runtime::kWorkspaceHeader);
   job->path = kind->second.upstream_path;
   job->pool = kind->second.pool.value;
@@ -80,13 +81,22 @@
 }
 
 void BaselineProxy::SendStatus(const Exchange& exchange) {
+  const auto now = std::chrono::steady_clock::now();
   json queues = json::array();
   for (const auto& [name, pool] : pools_) {
-    std::map<std::string, int> waiting;
-    for (const JobPtr& it : pool.queue) ++waiting[it->workspace];
-    for (const auto& [workspace, n] : waiting) {
-      queues.push_back(
-          {{"pool", name}, {"workspace", workspace}, {"waiting", n}});
+    std::map<std::string, std::pair<int, std::int64_t>> waiting;
+    for (const JobPtr& it : pool.queue) {
+      auto& [n, oldest] = waiting[it->workspace];
+      const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+          now - it->arrived);
+      ++n;
+      oldest = std::max(oldest, std::int64_t{wait.count()});
+    }
+    for (const auto& [workspace, it] : waiting) {
+      queues.push_back({{"pool", name},
+                        {"workspace", workspace},
+                        {"waiting", it.first},
+                        {"oldest_wait_ms", it.second}});
     }
   }
   exchange->Send({.status = 200,
--- a/Source/TestTools/Load/BaselineProxy.h
+++ b/Source/TestTools/Load/BaselineProxy.h
@@ -2,6 +2,7 @@
 #define SHALLOTBEAM_TESTTOOLS_LOAD_BASELINEPROXY_H_
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -50,6 +51,7 @@
   // A request that waits or is in flight.
   struct Job {
     Exchange exchange;
+    std::chrono::steady_clock::time_point arrived;
     std::string workspace;
     std::string path;
     std::string pool;
--- a/Source/TestTools/Load/Measures.cpp
+++ b/Source/TestTools/Load/Measures.cpp
@@ -19,20 +19,27 @@
   return std::chrono::duration<double>(to - from).count();
 }
 
-int WaitingIn(const Sample& sample, const std::string& pool) {
-  const auto it = sample.waiting.find(pool);
-  if (it == sample.waiting.end()) return 0;
-  int sum = 0;
-  for (const auto& [name, waiting] : it->second) sum += waiting;
-  return sum;
+// Whether requests waited all the time from one sample to the next. A queue
+// that holds something at both may have been empty in between.
+bool WaitedSince(const Sample& from, const Sample& to, const Waiting& waiting) {
+  return waiting.requests > 0 && waiting.oldest >= to.taken - from.taken;
+}
+
+bool AnyWaited(const Sample& from, const Sample& to, const std::string& pool) {
+  const auto it = to.waiting.find(pool);
+  if (it == to.waiting.end()) return false;
+  for (const auto& [name, waiting] : it->second) {
+    if (WaitedSince(from, to, waiting)) return true;
+  }
+  return false;
 }
 
-bool IsBacklogged(const Sample& sample, const std::string& pool,
+bool IsBacklogged(const Sample& from, const Sample& to, const std::string& pool,
                   const std::string& workspace) {
-  const auto it = sample.waiting.find(pool);
-  if (it == sample.waiting.end()) return false;
+  const auto it = to.waiting.find(pool);
+  if (it == to.waiting.end()) return false;
   const auto found = it->second.find(workspace);
-  return found != it->second.end() && found->second > 0;
+  return found != it->second.end() && WaitedSince(from, to, found->second);
 }
 
 double ServiceIn(const RunRecord& record, const Sample& sample,
@@ -100,6 +107,7 @@
     weights_ += weights;
   }
 
+  bool IsEmpty() const { return n_ == 0; }
   double Gap() const { return high_ - low_; }
   double Length() const { return n_ == 0 ? 0 : Seconds(start_, end_); }
   // What a workspace of weight 1 earns in a second.
@@ -175,7 +183,8 @@
       for (const auto& [name, n] : waiting) {
         const double service = ServiceIn(record, sample, pool, name);
         entry["pools"][pool][name] = {
-            {"waiting", n}, {"service", service / WeightOf(config, name)}};
+            {"waiting", n.requests},
+            {"service", service / WeightOf(config, name)}};
       }
     }
     series.push_back(std::move(entry));
@@ -235,7 +244,7 @@
   for (std::size_t i = 1; i < samples.size(); ++i) {
     const Sample& from = *samples[i - 1];
     const Sample& to = *samples[i];
-    if (WaitingIn(from, pool) == 0 || WaitingIn(to, pool) == 0) continue;
+    if (!AnyWaited(from, to, pool)) continue;
     use.seconds += Seconds(from.taken, to.taken);
     for (const auto& [name, reading] : to.engines) {
       const auto before = from.engines.find(name);
@@ -280,28 +289,36 @@
   };
   for (auto a = largest_cost.begin(); a != largest_cost.end(); ++a) {
     for (auto b = std::next(a); b != largest_cost.end(); ++b) {
-      Stretch stretch;
-      for (const Sample* sample : samples) {
-        const bool both = IsBacklogged(*sample, pool, a->first) &&
-                          IsBacklogged(*sample, pool, b->first);
-        if (!both) {
-          consider(stretch, a->first, b->first);
-          stretch = {};
-          continue;
-        }
+      // Adds `sample`, whose backlog is that of the window `from` to `to`.
+      const auto add = [&](Stretch& stretch, const Sample& sample,
+                           const Sample& from, const Sample& to) {
         double total = 0;
         double weights = 0;
         for (const auto& [name, cost] : largest_cost) {
-          total += ServiceIn(record, *sample, pool, name);
-          if (IsBacklogged(*sample, pool, name)) {
+          total += ServiceIn(record, sample, pool, name);
+          if (IsBacklogged(from, to, pool, name)) {
             weights += WeightOf(config, name);
           }
         }
-        const double difference = ServiceIn(record, *sample, pool, a->first) /
-                                      WeightOf(config, a->first) -
-                                  ServiceIn(record, *sample, pool, b->first) /
-                                      WeightOf(config, b->first);
-        stretch.Add(*sample, difference, total, weights);
+        const auto weighted = [&](const std::string& name) {
+          return ServiceIn(record, sample, pool, name) / WeightOf(config, name);
+        };
+        stretch.Add(sample, weighted(a->first) - weighted(b->first), total,
+                    weights);
+      };
+      Stretch stretch;
+      for (std::size_t i = 1; i < samples.size(); ++i) {
+        const Sample& from = *samples[i - 1];
+        const Sample& to = *samples[i];
+        const bool both = IsBacklogged(from, to, pool, a->first) &&
+                          IsBacklogged(from, to, pool, b->first);
+        if (!both) {
+          consider(stretch, a->first, b->first);
+          stretch = {};
+          continue;
+        }
+        if (stretch.IsEmpty()) add(stretch, from, from, to);
+        add(stretch, to, from, to);
       }
       consider(stretch, a->first, b->first);
     }
--- a/Source/TestTools/Load/Measures.h
+++ b/Source/TestTools/Load/Measures.h
@@ -42,8 +42,8 @@
 // Nearest-rank percentile; 0 of no values.
 double Percentile(std::vector<double> values, double share);
 
-// Busy slot time as a share of slot time, over the windows between samples in
-// which work of the pool waited at both ends.
+// Busy slot time as a share of slot time, over the windows between samples
+// throughout which work of the pool waited.
 struct Utilisation {
   double slots = 0;
   double engines = 0;  // of the engines' batch sizes
--- a/Source/TestTools/Load/Sampler.cpp
+++ b/Source/TestTools/Load/Sampler.cpp
@@ -1,5 +1,6 @@
 #include "Load/Sampler.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shallotbeam::load {
@@ -41,7 +42,11 @@
       for (const json& queue : status["queues"]) {
         const auto& pool = queue["pool"].get_ref<const std::string&>();
         const auto& name = queue["workspace"].get_ref<const std::string&>();
-        round->sample.waiting[pool][name] += queue.value("waiting", 0);
+        Waiting& waiting = round->sample.waiting[pool][name];
+        waiting.requests += queue.value("waiting", 0);
+        waiting.oldest = std::max(
+            waiting.oldest,
+            std::chrono::milliseconds(queue.value("oldest_wait_ms", 0)));
       }
     });
   }
--- a/Source/TestTools/Load/Sampler.h
+++ b/Source/TestTools/Load/Sampler.h
@@ -27,12 +27,18 @@
   std::map<std::string, double> service;  // by workspace
 };
 
+// Requests of one workspace that wait at the routers.
+struct Waiting {
+  int requests = 0;
+  std::chrono::milliseconds oldest{0};
+};
+
 // The state of the fleet at about one moment.
 struct Sample {
   Clock::time_point taken;
   std::string phase;
   // By pool and workspace, over all routers.
-  std::map<std::string, std::map<std::string, int>> waiting;
+  std::map<std::string, std::map<std::string, Waiting>> waiting;
   std::map<std::string, EngineReading> engines;  // by name
   std::map<std::string, int> slots;              // by pool and agent name
 };
--- a/Source/UnitTests/TestTools/MeasuresTest.cpp
+++ b/Source/UnitTests/TestTools/MeasuresTest.cpp
@@ -19,12 +19,15 @@
   RecordBuilder() { record_.pool_of_engine["e"] = "p"; }
 
   // `running` is the number of busy slots since the previous sample.
-  void Add(double running, std::map<std::string, int> waiting,
-           std::map<std::string, double> service) {
+  void Add(double running, const std::map<std::string, int>& waiting,
+           std::map<std::string, double> service,
+           milliseconds oldest = milliseconds(150)) {
     now_ += milliseconds(100);
     running_ms_ += running * 100;
     Sample sample{.taken = now_, .phase = "x"};
-    sample.waiting["p"] = std::move(waiting);
+    for (const auto& [name, n] : waiting) {
+      sample.waiting["p"][name] = {.requests = n, .oldest = oldest};
+    }
     sample.engines["e"] = {.taken = now_,
                            .running_ms = running_ms_,
                            .batch_ms = running_ms_,
@@ -66,7 +69,7 @@
   RecordBuilder builder;
   builder.Add(0, {}, {});
   builder.Add(1, {}, {});
-  builder.Add(10, {{"a", 3}}, {});
+  builder.Add(2, {{"a", 3}}, {}, milliseconds(99));
   builder.Add(9, {{"a", 3}}, {});
   builder.Add(7, {{"a", 1}}, {});
   builder.Add(0, {}, {});
@@ -80,17 +83,20 @@
 // only one of the two had work.
 BOOST_AUTO_TEST_CASE(GapIsWeightedAndOnlyWhileBothAreBacklogged) {
   RecordBuilder builder;
+  const std::map<std::string, int> both = {{"a", 1}, {"b", 1}};
   builder.Add(10, {{"a", 1}, {"b", 0}}, {{"a", 0}, {"b", 0}});
-  builder.Add(10, {{"a", 1}, {"b", 1}}, {{"a", 500}, {"b", 0}});
-  builder.Add(10, {{"a", 1}, {"b", 1}}, {{"a", 700}, {"b", 100}});
-  builder.Add(10, {{"a", 1}, {"b", 1}}, {{"a", 920}, {"b", 180}});
+  builder.Add(10, both, {{"a", 400}, {"b", 0}}, milliseconds(50));
+  builder.Add(10, both, {{"a", 500}, {"b", 0}});
+  builder.Add(10, both, {{"a", 700}, {"b", 100}});
+  builder.Add(10, both, {{"a", 920}, {"b", 180}});
   const FairnessGap gap = FairnessGapOf(builder.Record(), Weights(2, 1),
                                         {{"a", 30}, {"b", 20}}, "x", "p");
-  // Differences of service per weight: 250, 250 and 280.
-  BOOST_TEST(gap.gap == 30.0, boost::test_tools::tolerance(1e-9));
-  // 600 units in 0.2 s over weights of 3: a share of 1000 per second.
-  BOOST_TEST(gap.target == 20 + 2 * 1000.0, boost::test_tools::tolerance(1e-9));
-  BOOST_TEST(gap.seconds == 0.2, boost::test_tools::tolerance(1e-9));
+  // Differences of service per weight: 200, 250, 250 and 280.
+  BOOST_TEST(gap.gap == 80.0, boost::test_tools::tolerance(1e-9));
+  // 700 units in 0.3 s over weights of 3.
+  BOOST_TEST(gap.target == 20 + 2 * 700 / 0.3 / 3,
+             boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(gap.seconds == 0.3, boost::test_tools::tolerance(1e-9));
 }
 
 json MeasuresWith(std::uint64_t offered, std::uint64_t in_phase, double p95) {
