--- a/Source/Core/Runtime/AdminServer.h
+++ b/Source/Core/Runtime/AdminServer.h
@@ -6,11 +6,13 @@
 #include <memory>
 
 #include "Admission/Agent.h"
+#include "Common/Clock.h"
 #include "Common/Types.h"
 #include "Routing/Router.h"
 #include "Runtime/ConfigHolder.h"
 #include "Runtime/PeerDirectory.h"
 #include "Transport/HttpServer.h"
+#include "Transport/Mailbox.h"
 #include "absl/status/statusor.h"
 
 // HTTP for operators: /livez, /readyz and /status.
@@ -24,8 +26,12 @@
     boost::asio::io_context& context, const common::Endpoint& endpoint,
     StatusHandler on_status);
 
-transport::HttpResponse RouterStatus(const routing::RouterState& state);
-transport::HttpResponse AgentStatus(const admission::AgentState& state);
+// `control` counts the control messages of the process since its start.
+transport::HttpResponse RouterStatus(const routing::RouterState& state,
+                                     common::TimePoint now,
+                                     const transport::TrafficCount& control);
+transport::HttpResponse AgentStatus(const admission::AgentState& state,
+                                    const transport::TrafficCount& control);
 
 // Adds the configuration to a /status response: whether the process is ready,
 // a rejected version, and the version of each process that it hears of.
--- a/Source/Core/Runtime/AgentEngine.h
+++ b/Source/Core/Runtime/AgentEngine.h
@@ -48,6 +48,9 @@
                                   transport::HttpResponse status);
 
   const admission::AgentState& State() const { return state_; }
+  transport::TrafficCount ControlTraffic() const {
+    return environment_.mailbox.Count();
+  }
 
  private:
   // A router's connection and the call to the upstream that serves it.
--- a/Source/Core/Runtime/RouterProcess.cpp
+++ b/Source/Core/Runtime/RouterProcess.cpp
@@ -73,8 +73,10 @@
       [engine](const HostsMessage& message) { engine->OnHosts(message.hosts); },
       [engine](const RouterTickMessage&) { engine->OnTick(); },
       [engine](const RouterStatusMessage& message) {
-        message.exchange->Send(engine->OnAdmin(
-            message.exchange->Request().target, RouterStatus(engine->State())));
+        message.exchange->Send(
+            engine->OnAdmin(message.exchange->Request().target,
+                            RouterStatus(engine->State(), engine->Now(),
+                                         engine->ControlTraffic())));
       }};
 }
 
