Add fakes that run routers and agents under a fake clock

Cause: the invariants of section 1.1 of the design span several processes, and no test ran the decisions of routers and agents together.

Change: the library Fakes (test tools, never installed) holds a few RouterState and AgentState values and carries out their actions on a fake control network, fake hand-over connections, a fake store and fake upstreams. Processes can be killed, restarted empty, frozen and cut off from each other. Checks.h states the invariants over what callers and upstreams saw. Configuration spreads through the real ConfigHolder, bindings through the real read-back.

--- /dev/null
+++ b/Source/TestTools/Fakes/Checks.cpp
@@ -0,0 +1,192 @@
+#include "Fakes/Checks.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace shallotbeam::fakes {
+
+namespace {
+
+using common::Verdict;
+
+bool IsNotRun(const Answer& answer) {
+  return answer.type == AnswerType::kRefused &&
+         answer.refusal.verdict == Verdict::kNotRun;
+}
+
+double Milliseconds(common::Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+bool Belongs(const Call& call, const Call& other) {
+  if (call.options.key.empty()) return &call == &other;
+  return call.options.key == other.options.key &&
+         call.options.workspace == other.options.workspace;
+}
+
+// A key may run after "not run" only for a call sent after that answer.
+void CheckNotRun(const Records& seen, std::size_t index,
+                 std::vector<std::string>* found) {
+  const Call& call = seen.calls[index];
+  for (const Answer& answer : call.answers) {
+    if (!IsNotRun(answer)) continue;
+    for (const Run& run : seen.runs) {
+      const Call& other = seen.calls[run.call];
+      if (!Belongs(call, other) || other.sent > answer.at) continue;
+      found->push_back(fmt::format(
+          "c{} was answered not-run ({}) but c{} with key \"{}\" ran on {}",
+          index + 1, common::ToString(answer.refusal.reason), run.call + 1,
+          call.options.key, run.agent));
+      break;
+    }
+  }
+}
+
+void CheckAnswers(const Records& seen, std::size_t index,
+                  std::vector<std::string>* found) {
+  const Call& call = seen.calls[index];
+  const std::size_t answers = call.answers.size();
+  if (answers > 1 || (answers == 0 && !call.left)) {
+    found->push_back(
+        fmt::format("c{} got {} final answers", index + 1, answers));
+  }
+  for (const Answer& answer : call.answers) {
+    for (const std::size_t part : answer.parts) {
+      const Call& source = seen.calls[seen.runs[part].call];
+      if (part != answer.parts.front()) {
+        found->push_back(
+            fmt::format("c{} got parts of two attempts", index + 1));
+      }
+      if (source.options.content != call.options.content) {
+        found->push_back(
+            fmt::format("c{} got another caller's response", index + 1));
+      }
+    }
+    const bool complete =
+        answer.type != AnswerType::kCompleted || answer.parts.size() == 2;
+    if (!complete) {
+      found->push_back(
+          fmt::format("c{} got {} of 2 parts, not marked as truncated",
+                      index + 1, answer.parts.size()));
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<std::string> CheckAlways(const Fleet& fleet) {
+  const Records& seen = fleet.Seen();
+  std::vector<std::string> found = seen.violations;
+  std::map<std::pair<std::string, std::string>, int> runs;
+  for (const Run& run : seen.runs) {
+    const CallOptions& call = seen.calls[run.call].options;
+    if (call.key.empty()) continue;
+    if (++runs[{call.workspace, call.key}] == 2) {
+      found.push_back(fmt::format("key \"{}\" ran more than once", call.key));
+    }
+  }
+  for (std::size_t i = 0; i < seen.calls.size(); ++i) {
+    CheckAnswers(seen, i, &found);
+    CheckNotRun(seen, i, &found);
+  }
+  for (const auto& [content, crashes] : seen.crashes) {
+    if (crashes <= 2) continue;
+    found.push_back(
+        fmt::format("content {} crashed {} upstreams", content, crashes));
+  }
+  return found;
+}
+
+std::vector<std::string> CheckUndisturbed(const Fleet& fleet) {
+  std::vector<std::string> found;
+  const Records& seen = fleet.Seen();
+  for (std::size_t i = 0; i < seen.calls.size(); ++i) {
+    const Call& call = seen.calls[i];
+    if (call.answers.empty()) continue;
+    // Beyond the deadline: the confirmation of "not run" (500 ms) and a tick.
+    const common::TimePoint limit =
+        call.sent + call.options.time_allowed + std::chrono::milliseconds(600);
+    if (call.answers.front().at <= limit) continue;
+    found.push_back(
+        fmt::format("c{} was answered {} ms after it was sent", i + 1,
+                    Milliseconds(call.answers.front().at - call.sent)));
+  }
+  const auto& weights = fleet.Options().weights;
+  for (auto a = weights.begin(); a != weights.end(); ++a) {
+    for (auto b = std::next(a); b != weights.end(); ++b) {
+      const double gap = WidestGap(fleet, a->first, b->first);
+      const double allowed = AllowedGap(fleet, a->first, b->first);
+      if (gap <= allowed) continue;
+      found.push_back(
+          fmt::format("service of {} and {} differed by {}, allowed {}",
+                      a->first, b->first, gap, allowed));
+    }
+  }
+  // A dead router is dropped after 1 s, its grants after 500 ms.
+  const common::Duration idle = LongestIdle(fleet);
+  if (idle > std::chrono::milliseconds(1600)) {
+    found.push_back(fmt::format("a slot was idle for {} ms while work waited",
+                                Milliseconds(idle)));
+  }
+  return found;
+}
+
+double WidestGap(const Fleet& fleet, const std::string& a,
+                 const std::string& b) {
+  double widest = 0;
+  double low = 0;
+  double high = 0;
+  bool together = false;
+  for (const Sample& sample : fleet.Samples()) {
+    const auto at = [](const auto& map, const std::string& name) {
+      const auto it = map.find(name);
+      return it == map.end() ? 0 : it->second;
+    };
+    const double ahead = at(sample.service, a) - at(sample.service, b);
+    const bool both = at(sample.waiting, a) > 0 && at(sample.waiting, b) > 0;
+    if (!both || !together) low = high = ahead;
+    together = both;
+    low = std::min(low, ahead);
+    high = std::max(high, ahead);
+    widest = std::max(widest, high - low);
+  }
+  return widest;
+}
+
+double AllowedGap(const Fleet& fleet, const std::string& a,
+                  const std::string& b) {
+  const FleetOptions& options = fleet.Options();
+  double largest = 0;
+  for (const Call& call : fleet.Seen().calls) {
+    const std::string& workspace = call.options.workspace;
+    if (workspace != a && workspace != b) continue;
+    largest =
+        std::max(largest, call.options.cost / options.weights.at(workspace));
+  }
+  double weights = 0;
+  for (const auto& [name, weight] : options.weights) weights += weight;
+  // A slot earns one cost unit per millisecond.
+  const double rate = 1000.0 * options.agents * options.slots;
+  return largest + 2 * rate / weights;
+}
+
+common::Duration LongestIdle(const Fleet& fleet) {
+  common::Duration longest{};
+  common::TimePoint since;
+  bool idle = false;
+  for (const Sample& sample : fleet.Samples()) {
+    const bool waits =
+        std::any_of(sample.waiting.begin(), sample.waiting.end(),
+                    [](const auto& it) { return it.second > 0; });
+    const bool now_idle = waits && sample.idle_slot;
+    if (!now_idle || !idle) since = sample.at;
+    idle = now_idle;
+    longest = std::max(longest, sample.at - since);
+  }
+  return longest;
+}
+
+}  // namespace shallotbeam::fakes
--- /dev/null
+++ b/Source/TestTools/Fakes/FakeAgent.h
@@ -0,0 +1,70 @@
+#ifndef SHALLOTBEAM_TESTTOOLS_FAKES_FAKEAGENT_H_
+#define SHALLOTBEAM_TESTTOOLS_FAKES_FAKEAGENT_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Admission/Agent.h"
+#include "Fakes/FakeRouter.h"
+#include "Fakes/FakeUpstream.h"
+#include "Fakes/World.h"
+#include "Runtime/ConfigHolder.h"
+
+namespace shallotbeam::fakes {
+
+// Runs the decisions of one agent and carries out its actions on the fakes.
+class FakeAgent {
+ public:
+  FakeAgent(World& world, std::string name,
+            std::vector<common::Endpoint> seed_routers,
+            std::function<FakeRouter&(const std::string&)> router);
+
+  // Starts empty with a new incarnation.
+  void Start();
+  // Resets the connections from routers; the upstream runs on.
+  void Kill();
+  void OnEvent(const admission::AgentEvent& event);
+
+  const admission::AgentState& State() const { return state_; }
+  FakeUpstream& Upstream() { return upstream_; }
+  bool Drained() const { return drained_; }
+
+ private:
+  void OnControl(const protocol::Envelope& envelope);
+  void OnTick();
+  void OnPart(const admission::AttemptId& id, std::size_t run);
+  void OnUpstreamEnd(const admission::AttemptId& id,
+                     admission::UpstreamOutcome outcome, std::size_t run);
+  void Send(const std::string& to, const protocol::Body& body);
+  // Runs `answer` at the router that opened the connection, if it is open.
+  void Reply(const admission::AttemptId& id,
+             std::function<void(FakeRouter&)> answer);
+  void Complete(const admission::AttemptId& id, std::size_t run);
+
+  void Do(const admission::StartUpstream& action);
+  void Do(const admission::RejectOffer& action);
+  void Do(const admission::ReplayResult& action);
+  void Do(const admission::ForgetResult& action);
+  void Do(const admission::CancelUpstream& action);
+  void Do(const admission::ProbeUpstream& action);
+  void Do(const admission::SendMessage& action);
+  void Do(const admission::LogDecision& /*action*/) {}
+  void Do(const admission::DrainCompleted& /*action*/) { drained_ = true; }
+
+  World& world_;
+  std::string name_;
+  std::vector<common::Endpoint> seed_routers_;
+  std::function<FakeRouter&(const std::string&)> router_;
+  FakeUpstream upstream_;
+  admission::AgentState state_;
+  runtime::ConfigHolder config_;
+  std::map<std::string, std::size_t> results_;
+  std::map<admission::AttemptId, std::string> kept_;
+  bool drained_ = false;
+};
+
+}  // namespace shallotbeam::fakes
+
+#endif  // SHALLOTBEAM_TESTTOOLS_FAKES_FAKEAGENT_H_
--- /dev/null
+++ b/Source/TestTools/Fakes/FakeRouter.cpp
@@ -0,0 +1,304 @@
+#include "Fakes/FakeRouter.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace shallotbeam::fakes {
+
+namespace {
+
+using routing::StoreOutcome;
+
+constexpr common::Duration kConfigPollInterval = std::chrono::seconds(1);
+
+StoreOutcome ToOutcome(platform::SwapOutcome outcome) {
+  switch (outcome) {
+    case platform::SwapOutcome::kSwapped:
+      return StoreOutcome::kOk;
+    case platform::SwapOutcome::kConflict:
+      return StoreOutcome::kConflict;
+    case platform::SwapOutcome::kUnavailable:
+      return StoreOutcome::kUnavailable;
+  }
+  return StoreOutcome::kUnavailable;
+}
+
+}  // namespace
+
+void SendControl(World& world, const std::string& from, std::string to,
+                 const protocol::Envelope& envelope) {
+  const auto named = world.names_by_endpoint.find(to);
+  if (named != world.names_by_endpoint.end()) to = named->second;
+  world.network.SendControl(from, to, [&world, to, envelope] {
+    const auto inbox = world.inboxes.find(to);
+    if (inbox != world.inboxes.end()) inbox->second(envelope);
+  });
+}
+
+FakeRouter::FakeRouter(World& world, std::string name, common::Endpoint control)
+    : world_(world),
+      name_(std::move(name)),
+      control_(std::move(control)),
+      store_(world.timeline, world.store, [this] {
+        const bool cut = world_.network.IsCut(name_, kStoreName);
+        return cut ? StoreMode::kDown : world_.store_mode;
+      }) {
+  world_.names_by_endpoint[common::ToString(control_)] = name_;
+  world_.inboxes[name_] = [this](const auto& it) { OnControl(it); };
+}
+
+void FakeRouter::Start() {
+  world_.network.Start(name_);
+  state_ = routing::MakeRouter({.name = common::ProcessName(name_),
+                                .incarnation = world_.NewIncarnation(),
+                                .control = control_,
+                                .seed = world_.random()});
+  config_ = {};
+  calls_.clear();
+  config_polled_ = {};
+  drained_ = false;
+  OnTick();
+}
+
+void FakeRouter::Kill() {
+  world_.network.Kill(name_);
+  for (const auto& [id, call] : calls_) {
+    world_.records.calls[call].answers.push_back(
+        {.type = AnswerType::kBroken, .at = world_.timeline.Now()});
+  }
+  calls_.clear();
+  for (auto it = world_.connections.begin(); it != world_.connections.end();) {
+    const auto current = it++;
+    if (current->second.router != name_) continue;
+    const std::string agent = current->second.agent;
+    const admission::AttemptId id = current->first;
+    world_.connections.erase(current);
+    world_.network.SendBytes(
+        name_, agent, [this, agent, id] { world_.withdrawals.at(agent)(id); });
+  }
+}
+
+void FakeRouter::OnCall(std::size_t index) {
+  Call& call = world_.records.calls[index];
+  call.id = {.router = state_.options.incarnation,
+             .sequence = next_sequence_++};
+  calls_[call.id] = index;
+  if (call.options.ticket && call.options.key.empty()) {
+    return OnEvent(routing::TicketRequested{
+        .id = call.id,
+        .workspace = common::WorkspaceName(call.options.workspace),
+        .kind = common::KindName(call.options.kind)});
+  }
+  OnEvent(routing::RequestArrived{
+      .id = call.id,
+      .workspace = common::WorkspaceName(call.options.workspace),
+      .kind = common::KindName(call.options.kind),
+      .time_allowed = call.options.time_allowed,
+      .body_bytes = 100,
+      .fingerprint = static_cast<common::Fingerprint>(call.options.content),
+      .idempotency_key = call.options.key});
+}
+
+void FakeRouter::OnEvent(const routing::RouterEvent& event) {
+  routing::RouterActions actions;
+  const common::ConfigVersion before = state_.config.version;
+  routing::Handle(state_, world_.timeline.Now(), event, &actions);
+  if (state_.config.version < before) {
+    world_.records.violations.push_back(
+        fmt::format("{}: configuration version went back", name_));
+  }
+  for (const routing::RouterAction& action : actions) {
+    std::visit([this](const auto& it) { Do(it); }, action);
+  }
+  if (const auto* left = std::get_if<routing::CallerLeft>(&event)) {
+    calls_.erase(left->id);
+  }
+}
+
+void FakeRouter::OnTick() {
+  PollConfig();
+  OnEvent(routing::Tick{});
+  world_.network.Post(name_, kTickInterval, [this] { OnTick(); });
+}
+
+void FakeRouter::PollConfig() {
+  const common::TimePoint now = world_.timeline.Now();
+  if (now - config_polled_ < kConfigPollInterval) return;
+  config_polled_ = now;
+  store_.Read("config/current", [this](const platform::ReadResult& result) {
+    world_.network.Post(name_, {}, [this, result] {
+      if (!result.status.ok()) return;
+      Offer(static_cast<common::ConfigVersion>(result.stored.revision),
+            result.stored.value);
+    });
+  });
+}
+
+void FakeRouter::Offer(common::ConfigVersion version,
+                       const std::string& document) {
+  const auto config = config_.Offer(version, document);
+  if (config) OnEvent(routing::ConfigReceived{.config = *config});
+}
+
+void FakeRouter::OnControl(const protocol::Envelope& envelope) {
+  if (const auto reply = config_.Reply(envelope)) {
+    Send(envelope.sender.value, *reply);
+  }
+  if (const auto* document =
+          std::get_if<protocol::ConfigDocument>(&envelope.body)) {
+    return Offer(document->version, document->document);
+  }
+  OnEvent(routing::MessageReceived{.envelope = envelope});
+}
+
+void FakeRouter::OnPart(const admission::AttemptId& id, std::size_t run) {
+  const auto it = calls_.find(id.request);
+  if (world_.connections.count(id) == 0 || it == calls_.end()) return;
+  Call& call = world_.records.calls[it->second];
+  if (call.source != id.attempt) return;
+  call.parts.push_back(run);
+  OnEvent(routing::ResponseStarted{.id = id.request, .attempt = id.attempt});
+}
+
+void FakeRouter::OnComplete(const admission::AttemptId& id, std::size_t run,
+                            bool whole_body) {
+  const auto it = calls_.find(id.request);
+  if (world_.connections.count(id) == 0 || it == calls_.end()) return;
+  Call& call = world_.records.calls[it->second];
+  if (call.source == id.attempt) {
+    call.parts.push_back(run);
+    if (whole_body) call.parts.push_back(run);
+    Finish(id.request, {.type = AnswerType::kCompleted});
+  }
+  OnEnd(id, routing::DispatchOutcome::kCompleted);
+}
+
+void FakeRouter::OnEnd(const admission::AttemptId& id,
+                       routing::DispatchOutcome outcome,
+                       const common::Refusal& refusal) {
+  if (world_.connections.erase(id) == 0) return;
+  OnEvent(routing::DispatchEnded{.id = id.request,
+                                 .attempt = id.attempt,
+                                 .outcome = outcome,
+                                 .refusal = refusal});
+}
+
+void FakeRouter::Finish(common::RequestId id, Answer answer) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  Call& call = world_.records.calls[it->second];
+  calls_.erase(it);
+  answer.parts = call.parts;
+  answer.at = world_.timeline.Now();
+  call.answers.push_back(std::move(answer));
+}
+
+void FakeRouter::Send(const std::string& to, const protocol::Body& body) {
+  SendControl(world_, name_, to,
+              {.sender = state_.options.name,
+               .incarnation = state_.options.incarnation,
+               .body = body});
+}
+
+void FakeRouter::Do(const routing::DispatchRequest& action) {
+  const auto it = calls_.find(action.id);
+  if (it == calls_.end()) return;
+  Call& call = world_.records.calls[it->second];
+  call.source = action.attempt;
+  const std::string agent = action.agent.value;
+  const admission::AttemptId id{.request = action.id,
+                                .attempt = action.attempt};
+  world_.connections[id] = {.router = name_, .agent = agent};
+  world_.attempt_calls[id] = it->second;
+  if (!world_.network.IsAlive(agent)) {
+    return world_.network.Post(name_, std::chrono::milliseconds(1), [this, id] {
+      OnEnd(id, routing::DispatchOutcome::kNotSent);
+    });
+  }
+  const admission::RequestOffered offer{
+      .id = id,
+      .router = common::ProcessName(name_),
+      .workspace = common::WorkspaceName(call.options.workspace),
+      .kind = common::KindName(call.options.kind),
+      .grant = action.grant,
+      .fingerprint = static_cast<common::Fingerprint>(call.options.content),
+      .suspect = action.suspect,
+      .time_left = action.time_left,
+      .key = call.options.key,
+      .bound_to = action.bound_to,
+      .binding_revision = action.binding_revision};
+  world_.network.SendBytes(
+      name_, agent, [this, agent, offer] { world_.offers.at(agent)(offer); });
+  // As in Runtime/DispatchCall: the deadline and a second for the answer.
+  world_.network.Post(
+      name_, action.time_left + std::chrono::seconds(1),
+      [this, id] { OnEnd(id, routing::DispatchOutcome::kLost); });
+}
+
+void FakeRouter::Do(const routing::CancelDispatch& action) {
+  const admission::AttemptId id{.request = action.id,
+                                .attempt = action.attempt};
+  const auto it = world_.connections.find(id);
+  if (it == world_.connections.end()) return;
+  const std::string agent = it->second.agent;
+  world_.connections.erase(it);
+  world_.network.SendBytes(
+      name_, agent, [this, agent, id] { world_.withdrawals.at(agent)(id); });
+}
+
+void FakeRouter::Do(const routing::RefuseRequest& action) {
+  const auto it = calls_.find(action.id);
+  if (it == calls_.end()) return;
+  const bool started = !world_.records.calls[it->second].parts.empty();
+  Finish(action.id,
+         {.type = started ? AnswerType::kTruncated : AnswerType::kRefused,
+          .refusal = action.refusal});
+}
+
+void FakeRouter::Do(const routing::TruncateResponse& action) {
+  Finish(action.id,
+         {.type = AnswerType::kTruncated, .refusal = action.refusal});
+}
+
+// The caller sends its request with the ticket at once.
+void FakeRouter::Do(const routing::GiveTicket& action) {
+  const auto it = calls_.find(action.id);
+  if (it == calls_.end()) return;
+  const std::size_t call = it->second;
+  calls_.erase(it);
+  world_.records.calls[call].options.key = action.ticket;
+  OnCall(call);
+}
+
+void FakeRouter::Do(const routing::SendMessage& action) {
+  Send(action.to.value, action.body);
+}
+
+void FakeRouter::Do(const routing::ReadBinding& action) {
+  store_.Read(action.store_key, [this, id = action.id](
+                                    const platform::ReadResult& result) {
+    const routing::BindingRead event{
+        .id = id,
+        .outcome =
+            result.status.ok() ? StoreOutcome::kOk : StoreOutcome::kUnavailable,
+        .revision = result.stored.revision,
+        .value = result.stored.value};
+    world_.network.Post(name_, {}, [this, event] { OnEvent(event); });
+  });
+}
+
+void FakeRouter::Do(const routing::WriteBinding& action) {
+  platform::CompareAndSwapReadBack(
+      store_, action.store_key, action.expected_revision, action.value,
+      [this, id = action.id](const platform::SwapResult& result) {
+        const routing::BindingWritten event{
+            .id = id,
+            .outcome = ToOutcome(result.outcome),
+            .revision = result.stored.revision,
+            .value = result.stored.value};
+        world_.network.Post(name_, {}, [this, event] { OnEvent(event); });
+      });
+}
+
+}  // namespace shallotbeam::fakes
--- /dev/null
+++ b/Source/TestTools/Fakes/FakeStore.h
@@ -0,0 +1,48 @@
+#ifndef SHALLOTBEAM_TESTTOOLS_FAKES_FAKESTORE_H_
+#define SHALLOTBEAM_TESTTOOLS_FAKES_FAKESTORE_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "Fakes/Timeline.h"
+#include "Platform/KeyValueStore.h"
+
+namespace shallotbeam::fakes {
+
+enum class StoreMode : std::uint8_t {
+  kUp,
+  kDown,          // no call takes effect
+  kSlow,          // calls take effect after their time limit
+  kLosesAnswers,  // writes take effect, their answers are lost
+};
+
+struct StoreContent {
+  std::uint64_t last_revision = 0;
+  std::map<std::string, platform::StoredValue> values;
+};
+
+// One client's connection to the store. Calls time out after 1 s.
+class FakeStore : public platform::KeyValueStore {
+ public:
+  // `mode` is asked on every call.
+  FakeStore(Timeline& timeline, StoreContent& content,
+            std::function<StoreMode()> mode)
+      : timeline_(timeline), content_(content), mode_(std::move(mode)) {}
+
+  void Read(const std::string& key,
+            std::function<void(platform::ReadResult)> done) override;
+  void CompareAndSwap(const std::string& key, std::uint64_t expected_revision,
+                      const std::string& value,
+                      std::function<void(platform::SwapResult)> done) override;
+
+ private:
+  Timeline& timeline_;
+  StoreContent& content_;
+  std::function<StoreMode()> mode_;
+};
+
+}  // namespace shallotbeam::fakes
+
+#endif  // SHALLOTBEAM_TESTTOOLS_FAKES_FAKESTORE_H_
--- /dev/null
+++ b/Source/TestTools/Fakes/Records.h
@@ -0,0 +1,76 @@
+#ifndef SHALLOTBEAM_TESTTOOLS_FAKES_RECORDS_H_
+#define SHALLOTBEAM_TESTTOOLS_FAKES_RECORDS_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Common/Clock.h"
+#include "Common/Types.h"
+#include "Common/Verdict.h"
+
+// What callers and upstreams saw, for the checks.
+namespace shallotbeam::fakes {
+
+enum class AnswerType : std::uint8_t {
+  kCompleted,
+  kRefused,
+  kTruncated,
+  kBroken,  // the router died
+};
+
+struct Answer {
+  AnswerType type = AnswerType::kCompleted;
+  common::Refusal refusal;
+  std::vector<std::size_t> parts;  // the run that each part is from
+  common::TimePoint at;
+};
+
+struct CallOptions {
+  std::string router;
+  std::string workspace = "a";
+  std::string kind = "chat";
+  std::string key;
+  bool ticket = false;  // gets a ticket as its key
+  double cost = 10;     // also milliseconds at an upstream of normal speed
+  common::Duration time_allowed = std::chrono::seconds(5);
+  bool crashes = false;
+  // Equal for a call and its resends; 0 draws a new one.
+  std::uint64_t content = 0;
+};
+
+struct Call {
+  CallOptions options;
+  common::RequestId id;
+  common::TimePoint sent;
+  bool left = false;         // the caller disconnected
+  std::uint32_t source = 0;  // attempt whose response is passed on
+  std::vector<std::size_t> parts;
+  std::vector<Answer> answers;
+};
+
+// One request that an upstream accepted.
+struct Run {
+  std::size_t call = 0;
+  std::string agent;
+  common::TimePoint started;
+  bool ended = false;
+};
+
+struct Records {
+  std::vector<Call> calls;
+  std::vector<Run> runs;
+  // Crashes of upstreams by the content of the request that caused them.
+  std::map<std::uint64_t, int> crashes;
+  // First indication that an agent leaves.
+  std::map<std::string, common::TimePoint> leaving;
+  // Faults seen while running, for example a version that went back.
+  std::vector<std::string> violations;
+  std::set<std::string> disturbed;  // processes killed, frozen or cut off
+};
+
+}  // namespace shallotbeam::fakes
+
+#endif  // SHALLOTBEAM_TESTTOOLS_FAKES_RECORDS_H_
