Remember that an earlier attempt of a request may have run

Cause: an idempotent request whose first attempt was lost and that expired, or was banned, before a second attempt was answered "not-run" (invariant 4).

Change: the request remembers a lost or failed attempt, and its refusal then says "may have run". The verdict of a keyed request still follows the agent, which speaks for the key.

Before: 4-not-run-after-a-lost-attempt.scenario:6: call c1 is not-run (deadline_exceeded), expected may-have-run 4-not-run-after-a-lost-attempt.scenario: c1 was answered not-run (deadline_exceeded) but c1 with key "" ran on a1 9-crashing-request.scenario: c7 was answered not-run (crashes_upstreams) but c7 with key "" ran on a3 9-two-crashing-requests.scenario: c1 was answered not-run (crashes_upstreams) but c1 with key "" ran on a4 After: the three scenarios pass.

--- a/Source/Core/Routing/Outcomes.cpp
+++ b/Source/Core/Routing/Outcomes.cpp
@@ -53,6 +53,7 @@
     if (MayRetry(context, request)) return PlaceAgain(context, request);
     return Refuse(context, request, refusal);
   }
+  request.may_have_run = true;
   if (request.idempotent && MayRetry(context, request)) {
     Log(context, request, "requeue", "retry");
     return Enqueue(context, request);
@@ -68,6 +69,7 @@
     context.Do(TruncateResponse{.id = request.id, .refusal = lost});
     return Forget(context, request.id);
   }
+  if (was_sent) request.may_have_run = true;
   if (request.idempotent) {
     if (!was_sent || MayRetry(context, request)) {
       NoteBusy(context.state.agents, request.agent);
@@ -203,6 +205,9 @@
 }
 
 void Refuse(Context& context, Request& request, Refusal refusal) {
+  if (request.idempotent && request.may_have_run) {
+    refusal.verdict = Verdict::kMayHaveRun;
+  }
   Log(context, request, "refuse", common::ToString(refusal.reason));
   context.Do(RefuseRequest{.id = request.id, .refusal = refusal});
   Forget(context, request.id);
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -72,6 +72,9 @@
   common::TimePoint phase_deadline;  // for kConfirming
   std::uint32_t attempt = 0;
   int retries = 0;
+  // An earlier attempt may have run; only an agent's word on the key of a
+  // non-idempotent request overrules that.
+  bool may_have_run = false;
   bool response_started = false;
   common::ProcessName agent;  // of the current attempt
   common::GrantId grant = common::GrantId::kNone;
