Say "may have run" when a keyed call is refused unread

Cause: a router without a configuration, or one whose checks fail on arrival, refused a request with a key as "not-run" although an earlier send of the key had run through another router (invariant 4).

Change: such a refusal says "may have run" if the request carries a key, but for a malformed ticket, which no agent can have run.

Before: 4-unconfigured-router-and-key.scenario: c2 was answered not-run (no_configuration) but c1 with key "k1" ran on a2 After: the scenario passes.

--- a/Source/Core/Routing/Arrivals.cpp
+++ b/Source/Core/Routing/Arrivals.cpp
@@ -88,8 +88,13 @@
   return request;
 }
 
-void RefuseUnknown(Context& context, common::RequestId id, Reason reason) {
-  Refusal refusal{.verdict = Verdict::kNotRun, .reason = reason};
+// Refuses a call without a confirmation. An earlier send of the key may have
+// run through another router, or under an earlier configuration.
+void RefuseUnknown(Context& context, common::RequestId id, Reason reason,
+                   const std::string& key = "") {
+  const bool vouched = key.empty() || reason == Reason::kBadTicket;
+  Refusal refusal{.verdict = vouched ? Verdict::kNotRun : Verdict::kMayHaveRun,
+                  .reason = reason};
   const bool temporary =
       reason == Reason::kNoConfiguration || reason == Reason::kDraining;
   if (temporary) {
@@ -105,10 +110,12 @@
   Reason reason = Reason::kNone;
   const auto caller = CheckCaller(state, event.workspace, event.kind,
                                   event.credential_sha256, &reason);
-  if (!caller) return RefuseUnknown(context, event.id, reason);
+  if (!caller) {
+    return RefuseUnknown(context, event.id, reason, event.idempotency_key);
+  }
   reason = CheckRequest(state, *caller->kind, event);
   if (reason != Reason::kNone && reason != Reason::kDraining) {
-    return RefuseUnknown(context, event.id, reason);
+    return RefuseUnknown(context, event.id, reason, event.idempotency_key);
   }
 
   const auto [it, inserted] = state.requests.emplace(
