--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -84,8 +84,10 @@
   common::TimePoint timer;  // its entry in RouterState::timers
   std::uint32_t attempt = 0;
   int retries = 0;
+  // An earlier attempt may have run; only an agent's word on the key of a
+  // non-idempotent request overrules that.
+  bool may_have_run = false;
   bool response_started = false;
-  bool may_have_run = false;  // an earlier attempt ended without a sure word
   common::ProcessName agent;  // of the current attempt
   common::GrantId grant = common::GrantId::kNone;
   bool suspect = false;           // the current attempt runs isolated
