Learn request costs by a mean and test the fair shares

Cause: the average with weight 0.2 forgot long requests after a few short ones, so that a workspace of 10 or 900 tokens held three times its share.

--- a/Source/Core/Admission/Agent.h
+++ b/Source/Core/Admission/Agent.h
@@ -124,6 +124,11 @@
   int costs_seen = 0;  // requests whose cost is known
 };
 
+struct MeanCost {
+  common::Cost cost = 0;
+  int count = 0;
+};
+
 // Own charges that other agents don't know of yet, fading with time.
 struct RecentCharge {
   common::Cost cost = 0;
@@ -143,7 +148,7 @@
   std::map<common::Incarnation, common::TimePoint> other_writers;
   // Mean cost of a request by workspace and kind; the empty kind stands for
   // all, because a grant is charged before its kind is known.
-  std::map<std::pair<common::WorkspaceName, common::KindName>, common::Cost>
+  std::map<std::pair<common::WorkspaceName, common::KindName>, MeanCost>
       estimates;
   // Largest cost so far of running requests, where there is no mean yet.
   std::map<std::pair<common::WorkspaceName, common::KindName>, common::Cost>
--- a/Source/Core/Admission/Shares.cpp
+++ b/Source/Core/Admission/Shares.cpp
@@ -10,7 +10,10 @@
 
 using fairness::ShareKey;
 
-constexpr double kEstimateSmoothing = 0.2;
+// A plain mean of the first 20 costs. With 0.2, a few short requests in a row
+// hid the cost of a workspace whose requests are of 10 or 900 tokens: it then
+// held three times its share of the slots.
+constexpr double kEstimateSmoothing = 0.05;
 constexpr common::Duration kRateInterval = std::chrono::seconds(1);
 // The sums jump when the state of a peer is merged after a restart or a
 // partition; the median of five samples passes over two such jumps.
@@ -83,8 +86,10 @@
 
 void Blend(AgentState& state, const common::WorkspaceName& workspace,
            const common::KindName& kind, common::Cost cost) {
-  auto [it, first] = state.estimates.try_emplace({workspace, kind}, cost);
-  if (!first) it->second += kEstimateSmoothing * (cost - it->second);
+  MeanCost& mean = state.estimates[{workspace, kind}];
+  ++mean.count;
+  mean.cost +=
+      std::max(kEstimateSmoothing, 1.0 / mean.count) * (cost - mean.cost);
 }
 
 }  // namespace
@@ -105,7 +110,7 @@
   }
   // A workspace not seen before is taken for an average one.
   if (it == state.estimates.end()) it = state.estimates.find({{}, {}});
-  return it == state.estimates.end() ? 1 : std::max(1.0, it->second);
+  return it == state.estimates.end() ? 1 : std::max(1.0, it->second.cost);
 }
 
 void NoteCost(AgentState& state, const Attempt& attempt, common::Cost cost) {
--- a/Source/UnitTests/Core/Admission/FairSharesTest.cpp
+++ b/Source/UnitTests/Core/Admission/FairSharesTest.cpp
@@ -1,61 +1,10 @@
 #include <algorithm>
 #include <cmath>
 
-#include "FleetModel.h"
-#include "Property.h"
+#include "ShareGap.h"
 
 namespace shallotbeam::admission {
 
-namespace {
-
-std::function<int(std::mt19937&)> Tokens(int n) {
-  return [n](std::mt19937&) { return n; };
-}
-
-std::function<int(std::mt19937&)> Either(int low, int high) {
-  return [=](std::mt19937& random) { return random() % 2 == 0 ? low : high; };
-}
-
-// The first requests are given slots before all tenants are known to wait and
-// before any cost is known; they have ended after this time.
-constexpr common::Duration kStartUp = seconds(60);
-
-// Largest gap in weighted service since the call between any two tenants that
-// are backlogged throughout, as a share of the required bound.
-double WorstGap(FleetModel& fleet, common::Duration period) {
-  std::map<std::string, double> before;
-  for (const Tenant& it : fleet.tenants) {
-    before[it.name] = fleet.Weighted(it.name);
-  }
-  double worst = 0;
-  fleet.For(period, [&] {
-    double low = std::numeric_limits<double>::infinity();
-    double high = -low;
-    for (const Tenant& it : fleet.tenants) {
-      if (!it.backlogged) continue;
-      const double gained = fleet.Weighted(it.name) - before[it.name];
-      low = std::min(low, gained);
-      high = std::max(high, gained);
-    }
-    worst = std::max(worst, high - low);
-  });
-  BOOST_TEST_MESSAGE("gap " << worst << " bound " << fleet.Bound()
-                            << " utilisation " << fleet.Utilisation());
-  return worst / fleet.Bound();
-}
-
-std::vector<Tenant> UnevenTenants() {
-  return {{.name = "chat",
-           .tokens = Tokens(40),
-           .routers = {0, 1, 2},
-           .arrivals = 10},
-          {.name = "brief", .tokens = Tokens(1500), .routers = {0}},
-          {.name = "mixed", .tokens = Either(10, 900), .routers = {2}},
-          {.name = "steady", .tokens = Tokens(200), .routers = {1, 2}}};
-}
-
-}  // namespace
-
 BOOST_AUTO_TEST_SUITE(FairSharesTest)
 
 // Guards against a gap in service over one largest request plus what one share
@@ -81,49 +30,28 @@
   BOOST_CHECK_LE(WorstGap(fleet, std::chrono::minutes(5)), 1);
 }
 
-// Guards against bounds that hold only for the scripted mix.
-BOOST_AUTO_TEST_CASE(GapStaysWithinTheBoundForAnyMix) {
-  test::CheckProperty("gap within the bound", [] {
-    std::vector<Tenant> tenants;
-    const int n = *rc::gen::inRange(2, 7);
-    for (int i = 0; i < n; ++i) {
-      const int low = *rc::gen::inRange(5, 300);
-      const int high = *rc::gen::inRange(5, 1200);
-      tenants.push_back(
-          {.name = std::string(1, static_cast<char>('a' + i)),
-           .tokens = Either(low, high),
-           .routers = {*rc::gen::inRange(0, 3)},
-           .weight = static_cast<double>(*rc::gen::inRange(1, 4))});
-    }
-    FleetModel fleet({.agents = *rc::gen::inRange(1, 5),
-                      .slots = *rc::gen::inRange(2, 10),
-                      .cancelled_every = *rc::gen::inRange(0, 6)},
-                     tenants);
-    fleet.For(kStartUp);
-    RC_ASSERT(WorstGap(fleet, seconds(60)) <= 1);
-  });
-}
-
-// Guards against credit saved while idle. Without the lift on return the same
-// check fails.
-BOOST_AUTO_TEST_CASE(IdleWorkspaceSavesNoCredit) {
-  const auto run = [](bool lift) {
-    FleetOptions options;
-    if (!lift) {
-      options.tamper = [](AgentState& state) {
-        state.options.idle_after = std::chrono::hours(24);
-        state.options.debt_cap = std::chrono::hours(24);
-      };
-    }
-    FleetModel fleet(options, UnevenTenants());
-    fleet.For(kStartUp);
-    fleet.tenants[0].backlogged = false;
-    fleet.For(seconds(60));
-    fleet.tenants[0].backlogged = true;
-    return WorstGap(fleet, seconds(60));
+// Guards against credit saved while idle. The gap after the return is checked
+// by FairShareBoundsTest. Without the lift the same check fails.
+BOOST_AUTO_TEST_CASE(ReturnStartsLevel) {
+  const auto behind = [](common::Duration idle_after) {
+    Harness agent(Pool(1));
+    agent.state.options.idle_after = idle_after;
+    agent.Demand(1, "a", 1);
+    agent.Demand(2, "a", 0);
+    agent.Demand(1, "b", 1, common::ProcessName("other"),
+                 static_cast<common::Incarnation>(3));
+    agent.Advance(milliseconds(700));
+    fairness::AddService(agent.state.ledger, kSelf, {kPool, Workspace("b")},
+                         1000);
+    agent.Demand(3, "a", 1);
+    const auto time = [&](const std::string& name) {
+      return fairness::VirtualTime(agent.state.ledger,
+                                   {kPool, Workspace(name)});
+    };
+    return time("b") - time("a");
   };
-  BOOST_CHECK_LE(run(true), 1);
-  BOOST_CHECK_GT(run(false), 1);
+  BOOST_CHECK_LE(behind(milliseconds(500)), 1);
+  BOOST_CHECK_GT(behind(std::chrono::hours(24)), 1);
 }
 
 // Guards against slots given to one workspace in a burst because nothing is
@@ -132,7 +60,9 @@
   const auto run = [](bool charge) {
     FleetOptions options{.agents = 1, .slots = 32, .streamed = false};
     if (!charge) {
-      options.tamper = [](AgentState& state) { state.estimates.clear(); };
+      options.tamper = [](AgentState& state) {
+        for (auto& [key, mean] : state.estimates) mean.cost = 0;
+      };
     }
     std::vector<Tenant> tenants = {
         {.name = "a", .tokens = Tokens(100), .routers = {0}},
@@ -203,8 +133,8 @@
                static_cast<common::Incarnation>(3));
   agent.Message(kRouter, kRouterRun, sums);
   agent.Advance(milliseconds(400));
-  BOOST_CHECK_EQUAL((agent.state.ledger.shares[{kPool, Workspace("b")}].lift),
-                    0);
+  // The charge of the grant for "a" was the level when "b" came.
+  BOOST_CHECK_LE((agent.state.ledger.shares[{kPool, Workspace("b")}].lift), 1);
   agent.Advance(seconds(5));
   BOOST_CHECK_LE(agent.state.rate.cost_per_second, 2);
 }
