Serve Prometheus metrics and end a call with its own attempt only

Cause: reading the engines showed that the end of an earlier attempt dropped the caller's call while a later attempt was still running, so that the caller would never have been answered, and that an agent kept the call of a withdrawn request for ever.

--- a/Source/Core/Runtime/AdminServer.cpp
+++ b/Source/Core/Runtime/AdminServer.cpp
@@ -47,7 +47,8 @@
       [on_status = std::move(on_status)](
           std::shared_ptr<transport::HttpExchange> exchange) {
         const std::string& target = exchange->Request().target;
-        if (target == "/status" || target == "/readyz") {
+        if (target == "/status" || target == "/readyz" ||
+            target == "/metrics") {
           return on_status(std::move(exchange));
         }
         const int status = target == "/livez" ? 200 : 404;
@@ -55,6 +56,13 @@
       });
 }
 
+HttpResponse MetricsResponse(std::string text) {
+  HttpResponse response;
+  response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
+  response.body = std::move(text);
+  return response;
+}
+
 HttpResponse RouterStatus(const routing::RouterState& state,
                           common::TimePoint now,
                           const transport::TrafficCount& control) {
--- a/Source/Core/Runtime/AdminServer.h
+++ b/Source/Core/Runtime/AdminServer.h
@@ -15,13 +15,13 @@
 #include "Transport/Mailbox.h"
 #include "absl/status/statusor.h"
 
-// HTTP for operators: /livez, /readyz and /status.
+// HTTP for operators: /livez, /readyz, /metrics and /status.
 namespace shallotbeam::runtime {
 
 using StatusHandler =
     std::function<void(std::shared_ptr<transport::HttpExchange>)>;
 
-// `on_status` answers /status and /readyz.
+// `on_status` answers all but /livez.
 absl::StatusOr<std::shared_ptr<transport::HttpServer>> ListenAdmin(
     boost::asio::io_context& context, const common::Endpoint& endpoint,
     StatusHandler on_status);
@@ -33,6 +33,9 @@
 transport::HttpResponse AgentStatus(const admission::AgentState& state,
                                     const transport::TrafficCount& control);
 
+// Answers /metrics with the Prometheus text format.
+transport::HttpResponse MetricsResponse(std::string text);
+
 // Adds the configuration to a /status response: whether the process is ready,
 // a rejected version, and the version of each process that it hears of.
 void AddConfigReport(const ConfigHolder& config, const PeerDirectory& peers,
--- a/Source/Core/Runtime/AgentEngine.cpp
+++ b/Source/Core/Runtime/AgentEngine.cpp
@@ -50,6 +50,10 @@
   if (const auto* ended = std::get_if<admission::UpstreamEnded>(&event)) {
     calls_.erase(ended->id);
   }
+  if (const auto* gone = std::get_if<admission::OfferWithdrawn>(&event)) {
+    // A keyed attempt that has begun runs on.
+    if (!state_.running.contains(gone->id)) calls_.erase(gone->id);
+  }
 }
 
 void AgentEngine::OnControlBytes(std::string_view bytes) {
@@ -68,14 +72,19 @@
   OnEvent(admission::MessageReceived{.envelope = *envelope});
 }
 
-transport::HttpResponse AgentEngine::OnAdmin(const std::string& target,
-                                             transport::HttpResponse status) {
+transport::HttpResponse AgentEngine::OnAdmin(const std::string& target) {
   const common::TimePoint now = environment_.clock.Now();
+  const transport::TrafficCount traffic = environment_.mailbox.Count();
+  if (target == "/metrics") {
+    metrics_.Update(state_, traffic);
+    return MetricsResponse(metrics_.Text());
+  }
   ForgetPeers(directory_, now);
   const bool ready = CheckReady(readiness_, config_, directory_, now);
   if (target == "/readyz") {
     return ReadyResponse(config_, ready, state_.draining);
   }
+  transport::HttpResponse status = AgentStatus(state_, traffic);
   AddConfigReport(config_, directory_, ready, now, &status);
   return status;
 }
--- a/Source/Core/Runtime/AgentEngine.h
+++ b/Source/Core/Runtime/AgentEngine.h
@@ -10,6 +10,7 @@
 #include "Admission/Agent.h"
 #include "Common/Clock.h"
 #include "Runtime/ConfigHolder.h"
+#include "Runtime/Metrics.h"
 #include "Runtime/PeerDirectory.h"
 #include "Runtime/PeerLink.h"
 #include "Runtime/StoreReaders.h"
@@ -43,14 +44,8 @@
   void OnControlBytes(std::string_view bytes);
   void OnResult(const std::string& key, transport::HttpResponse result);
 
-  // Answers /readyz, or adds the configuration to the response of /status.
-  transport::HttpResponse OnAdmin(const std::string& target,
-                                  transport::HttpResponse status);
-
-  const admission::AgentState& State() const { return state_; }
-  transport::TrafficCount ControlTraffic() const {
-    return environment_.mailbox.Count();
-  }
+  // Answers /readyz, /metrics and /status.
+  transport::HttpResponse OnAdmin(const std::string& target);
 
  private:
   // A router's connection and the call to the upstream that serves it.
@@ -77,6 +72,7 @@
   PeerLink peers_;
   PeerDirectory directory_;
   Readiness readiness_;
+  AgentMetrics metrics_;
   std::map<admission::AttemptId, Call> calls_;
   std::unordered_map<std::string, transport::HttpResponse> results_;
 };
--- a/Source/Core/Runtime/AgentProcess.cpp
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -61,9 +61,8 @@
             engine->OnResult(message.key, message.result);
           },
           [engine](const AgentStatusMessage& message) {
-            message.exchange->Send(engine->OnAdmin(
-                message.exchange->Request().target,
-                AgentStatus(engine->State(), engine->ControlTraffic())));
+            message.exchange->Send(
+                engine->OnAdmin(message.exchange->Request().target));
           }};
 }
 
--- a/Source/Core/Runtime/RouterEngine.cpp
+++ b/Source/Core/Runtime/RouterEngine.cpp
@@ -70,7 +70,13 @@
   exchange->OnClientGone([post = environment_.post_event, id] {
     post(routing::CallerLeft{.id = id});
   });
-  calls_[id] = {.exchange = std::move(exchange)};
+  Call& call = calls_[id];
+  call.exchange = std::move(exchange);
+  call.arrived = environment_.clock.Now();
+  if (const auto* arrived = std::get_if<routing::RequestArrived>(&event)) {
+    call.workspace = arrived->workspace;
+    call.kind = arrived->kind;
+  }
   OnEvent(event);
 }
 
@@ -81,12 +87,15 @@
     std::visit([this](const auto& it) { Do(it); }, action);
   }
   if (const auto* left = std::get_if<routing::CallerLeft>(&event)) {
+    CountAnswer(left->id, {.verdict = common::Verdict::kMayHaveRun,
+                           .reason = common::Reason::kCallerGone});
     EndCall(left->id);
   }
   if (const auto* ended = std::get_if<routing::DispatchEnded>(&event)) {
-    const bool completed =
-        ended->outcome == routing::DispatchOutcome::kCompleted;
-    if (completed) EndCall(ended->id);
+    // The end of an earlier attempt leaves the request to the current one.
+    if (state_.requests.contains(ended->id)) return;
+    CountAnswer(ended->id, {.verdict = common::Verdict::kCompleted});
+    EndCall(ended->id);
   }
 }
 
@@ -127,13 +136,18 @@
   OnEvent(ToProcesses(*hosts, state_.agents));
 }
 
-transport::HttpResponse RouterEngine::OnAdmin(const std::string& target,
-                                              transport::HttpResponse status) {
+transport::HttpResponse RouterEngine::OnAdmin(const std::string& target) {
   const common::TimePoint now = environment_.clock.Now();
+  const transport::TrafficCount traffic = environment_.mailbox.Count();
+  if (target == "/metrics") {
+    metrics_.Update(state_, traffic);
+    return MetricsResponse(metrics_.Text());
+  }
   const bool ready = CheckReady(readiness_, config_, directory_, now);
   if (target == "/readyz") {
     return ReadyResponse(config_, ready, state_.draining);
   }
+  transport::HttpResponse status = RouterStatus(state_, now, traffic);
   AddConfigReport(config_, directory_, ready, now, &status);
   return status;
 }
@@ -266,9 +280,25 @@
   response.headers.emplace_back(std::string(kRequestIdHeader),
                                 common::ToString(id));
   it->second.exchange->Fail(std::move(response), ToErrorEvent(refusal));
+  CountAnswer(id, refusal);
   EndCall(id);
 }
 
+void RouterEngine::CountAnswer(common::RequestId id,
+                               const common::Refusal& outcome) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  const Call& call = it->second;
+  const common::Duration elapsed = environment_.clock.Now() - call.arrived;
+  // Names that callers make up must not grow the set of metrics.
+  const bool known = state_.config.workspaces.contains(call.workspace) &&
+                     state_.config.kinds.contains(call.kind);
+  const common::WorkspaceName other("unknown");
+  metrics_.CountAnswer(known ? call.workspace : other,
+                       known ? call.kind : common::KindName(other.value),
+                       outcome, elapsed);
+}
+
 void RouterEngine::EndCall(common::RequestId id) { calls_.erase(id); }
 
 }  // namespace shallotbeam::runtime
--- a/Source/Core/Runtime/RouterEngine.h
+++ b/Source/Core/Runtime/RouterEngine.h
@@ -12,6 +12,7 @@
 #include "Platform/KeyValueStore.h"
 #include "Routing/Router.h"
 #include "Runtime/ConfigHolder.h"
+#include "Runtime/Metrics.h"
 #include "Runtime/PeerDirectory.h"
 #include "Runtime/PeerLink.h"
 #include "Runtime/StoreReaders.h"
@@ -53,23 +54,19 @@
   void OnControlBytes(std::string_view bytes);
   void OnStoredConfig(const platform::ReadResult& read);
   void OnHosts(const platform::HostsResult& hosts);
-  // Answers /readyz, or adds the configuration to the response of /status.
-  transport::HttpResponse OnAdmin(const std::string& target,
-                                  transport::HttpResponse status);
+  // Answers /readyz, /metrics and /status.
+  transport::HttpResponse OnAdmin(const std::string& target);
   void OnTick();
 
-  const routing::RouterState& State() const { return state_; }
-  common::TimePoint Now() const { return environment_.clock.Now(); }
-  transport::TrafficCount ControlTraffic() const {
-    return environment_.mailbox.Count();
-  }
-
  private:
   // A caller's connection and the attempt that serves it.
   struct Call {
     std::shared_ptr<transport::HttpExchange> exchange;
     std::shared_ptr<transport::HttpCall> dispatch;
     std::uint32_t attempt = 0;
+    common::WorkspaceName workspace;
+    common::KindName kind;
+    common::TimePoint arrived;
   };
 
   void Do(const routing::DispatchRequest& action);
@@ -83,6 +80,7 @@
   void Do(const routing::LogDecision& action);
   void Do(const routing::DrainCompleted& action);
 
+  void CountAnswer(common::RequestId id, const common::Refusal& outcome);
   void EndCall(common::RequestId id);
   void FailCall(common::RequestId id, const common::Refusal& refusal);
   void PollStoredConfig();
@@ -97,6 +95,7 @@
   PeerDirectory directory_;
   ConfigPolling polling_;
   Readiness readiness_;
+  RouterMetrics metrics_;
   common::TimePoint next_hosts_read_;
   bool hosts_read_in_flight_ = false;
   common::TimePoint next_greeting_;
--- a/Source/Core/Runtime/RouterProcess.cpp
+++ b/Source/Core/Runtime/RouterProcess.cpp
@@ -74,9 +74,7 @@
       [engine](const RouterTickMessage&) { engine->OnTick(); },
       [engine](const RouterStatusMessage& message) {
         message.exchange->Send(
-            engine->OnAdmin(message.exchange->Request().target,
-                            RouterStatus(engine->State(), engine->Now(),
-                                         engine->ControlTraffic())));
+            engine->OnAdmin(message.exchange->Request().target));
       }};
 }
 
