Refuse keyed requests whose read may be younger than a refusal

Cause: the property of keyed requests let reads take effect on arrival. In a trial with reads at any later time it failed after 68 cases of 50 worlds: a send whose read saw the tombstone of a later send bound over it and ran, although the later send had been told "not run".

Change: a binding with tombstones before it is used only at a revision that the router had seen when the request arrived. The property's reads take effect at any time. Deadlines in the property of random event orders are 1 s, so that they pass while agents are heard of; with 10 s a leaked slot went unnoticed.

--- a/Source/Core/Routing/Arrivals.cpp
+++ b/Source/Core/Routing/Arrivals.cpp
@@ -80,6 +80,7 @@
   if (kind.idempotent) return request;
 
   request.key = event.idempotency_key;
+  request.store_revision = context.state.store_revision;
   if (const auto ticket = ParseTicket(request.key)) {
     request.owner = ticket->owner;
   } else {
@@ -163,6 +164,7 @@
 }
 
 void OnBindingRead(Context& context, const BindingRead& event) {
+  NoteStoreRevision(context.state, event.revision);
   const auto it = context.state.requests.find(event.id);
   if (it == context.state.requests.end()) return;
   Request& request = it->second;
@@ -184,6 +186,18 @@
         context, request,
         {.verdict = Verdict::kMayHaveRun, .reason = Reason::kStoreUnavailable});
   }
+  // The read may have taken effect after a later send was told "not run", and
+  // then this one must not run. Only what the store held before the arrival is
+  // certain; a resend through this router is.
+  const bool refused_meanwhile =
+      binding && binding->epoch > 0 && event.revision > request.store_revision;
+  if (refused_meanwhile) {
+    return Refuse(
+        context, request,
+        {.verdict = Verdict::kMayHaveRun,
+         .reason = Reason::kKeyInProgress,
+         .retry_after = RetryAfter(context, std::chrono::milliseconds(100))});
+  }
   if (binding) request.binding_epoch = binding->epoch;
   if (binding && !binding->tombstone) {
     request.owner = binding->owner;
--- a/Source/Core/Routing/Dispatching.cpp
+++ b/Source/Core/Routing/Dispatching.cpp
@@ -242,6 +242,7 @@
 }
 
 void OnBindingWritten(Context& context, const BindingWritten& event) {
+  NoteStoreRevision(context.state, event.revision);
   const auto it = context.state.requests.find(event.id);
   if (it == context.state.requests.end()) return;
   Request& request = it->second;
--- a/Source/Core/Routing/Internal.h
+++ b/Source/Core/Routing/Internal.h
@@ -25,6 +25,9 @@
 void OnTicketRequest(Context& context, const TicketRequested& event);
 void OnBindingRead(Context& context, const BindingRead& event);
 
+// Revisions grow over all keys of the store.
+void NoteStoreRevision(RouterState& state, std::uint64_t revision);
+
 // Dispatching.cpp: moves a request towards an agent.
 
 // Dispatches at once if an agent has a free slot, else queues.
--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -92,6 +92,10 @@
       .passed_over = PassedOverIn(context.state.agents, request.pool)});
 }
 
+void NoteStoreRevision(RouterState& state, std::uint64_t revision) {
+  state.store_revision = std::max(state.store_revision, revision);
+}
+
 common::Duration RetryAfter(Context& context, common::Duration estimate) {
   const double jitter = context.state.options.retry_after_jitter;
   std::uniform_real_distribution<double> spread(1 - jitter, 1 + jitter);
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -45,8 +45,8 @@
   // Relative spread of Retry-After around the estimate.
   double retry_after_jitter = 0.25;
   common::Duration max_retry_after = std::chrono::seconds(60);
-  // How long requests are queued while no agent of the pool serves. Covers the
-  // restart of an agent; without an agent for longer, requests are refused.
+  // How long requests are queued while no agent of the pool serves. Meant for
+  // the restart of an agent, not measured; after that requests are refused.
   common::Duration outage_bridge = std::chrono::seconds(5);
   // Pause before a request that was refused as a suspect, or could not be
   // sent, is tried again; doubles from the first to the last.
@@ -97,6 +97,7 @@
   std::string store_key;  // empty for a ticket
   std::uint64_t binding_revision = 0;
   std::optional<Owner> owner;
+  std::uint64_t store_revision = 0;  // seen by the router on its arrival
   std::uint64_t binding_epoch = 0;
   std::uint32_t writes = 0;
   std::string written;      // value of the last write
@@ -134,6 +135,7 @@
   common::TimePoint started;  // first event
   common::TimePoint heartbeat_sent;
   common::TimePoint shares_sent;
+  std::uint64_t store_revision = 0;  // highest one seen
   bool draining = false;
   bool drain_forced = false;
   bool drain_reported = false;
--- a/Source/UnitTests/Core/Routing/InterleavingTest.cpp
+++ b/Source/UnitTests/Core/Routing/InterleavingTest.cpp
@@ -32,7 +32,14 @@
   std::vector<protocol::Revoke> revokes;
   bool draining = false;
 
-  explicit Chaos(std::uint32_t seed) : random(seed) {}
+  explicit Chaos(std::uint32_t seed) : random(seed) {
+    // Short enough to pass while agents are heard of.
+    config::FleetConfig config = MakeConfig();
+    config.version = static_cast<common::ConfigVersion>(2);
+    config.kinds[kChat].default_deadline = seconds(1);
+    config.kinds[kOrder].default_deadline = seconds(1);
+    it.Send(ConfigReceived{.config = config});
+  }
 
   int Draw(int below) { return static_cast<int>(random() % below); }
   bool Chance(int percent) { return Draw(100) < percent; }
--- a/Source/UnitTests/Core/Routing/KeyedTest.cpp
+++ b/Source/UnitTests/Core/Routing/KeyedTest.cpp
@@ -144,6 +144,25 @@
   }
 }
 
+// Guards against a send whose read takes effect after a later send was refused
+// as not run, and against a key that can't be bound any more after that.
+BOOST_AUTO_TEST_CASE(TombstoneReadLateIsNotBoundOver) {
+  Fixture it;
+  it.Beat(kA, 5);
+  const std::string tombstone =
+      FormatBinding({.tombstone = true, .written_by = it.Id(9), .epoch = 1});
+  it.ArriveKeyed(1, "key");
+  auto actions =
+      it.Send(BindingRead{.id = it.Id(1), .revision = 9, .value = tombstone});
+  BOOST_CHECK(Only<WriteBinding>(actions).empty());
+  BOOST_CHECK(RefusalIn(actions).verdict == Verdict::kMayHaveRun);
+  BOOST_CHECK(RefusalIn(actions).retry_after.has_value());
+  it.ArriveKeyed(2, "key");
+  actions =
+      it.Send(BindingRead{.id = it.Id(2), .revision = 9, .value = tombstone});
+  BOOST_CHECK_EQUAL(Only<WriteBinding>(actions).size(), 1);
+}
+
 // Guards against a write that is recognised by the value of an earlier one.
 BOOST_AUTO_TEST_CASE(EveryWriteHasItsOwnValue) {
   Binding1 it;
--- a/Source/UnitTests/Core/Routing/KeyedWorld.h
+++ b/Source/UnitTests/Core/Routing/KeyedWorld.h
@@ -263,12 +263,16 @@
   }
 
   void Do(Fixture& router, const ReadBinding& read) {
-    const BindingRead answer{
-        .id = read.id,
-        .outcome = Chance(95) ? StoreOutcome::kOk : StoreOutcome::kUnavailable,
-        .revision = store_.key_revision,
-        .value = store_.value};
-    Later([this, &router, answer] { Run(router, answer); });
+    // Takes effect at any time after it was sent.
+    Later([this, &router, read] {
+      const BindingRead answer{.id = read.id,
+                               .outcome = Chance(95)
+                                              ? StoreOutcome::kOk
+                                              : StoreOutcome::kUnavailable,
+                               .revision = store_.key_revision,
+                               .value = store_.value};
+      Later([this, &router, answer] { Run(router, answer); });
+    });
   }
 
   void Do(Fixture& router, const WriteBinding& write) {
