--- a/Source/Core/Routing/Dispatching.cpp
+++ b/Source/Core/Routing/Dispatching.cpp
@@ -29,9 +29,10 @@
   request.phase = Phase::kDispatched;
   request.suspect =
       suspects::IsSuspect(state.suspects, request.fingerprint, context.now);
+  // Before the slot is taken, or the chosen agent may count as busy.
+  Log(context, request, "dispatch", cause);
   NoteDispatched(state.agents, name, request.id, request.suspect);
   NoteDispatch(state.retry_budgets[request.pool], state.options.retries);
-  Log(context, request, "dispatch", cause);
   context.Do(DispatchRequest{.id = request.id,
                              .attempt = request.attempt,
                              .agent = name,
--- a/Source/UnitTests/Core/Routing/RouterTest.cpp
+++ b/Source/UnitTests/Core/Routing/RouterTest.cpp
@@ -236,9 +236,8 @@
   const auto lines = Only<LogDecision>(it.Arrive(1));
   BOOST_REQUIRE_EQUAL(lines.size(), 1);
   BOOST_CHECK_EQUAL(lines.front().agent.value, kA.value);
-  // The chosen agent's only slot is taken by now.
   BOOST_CHECK(lines.front().passed_over ==
-              (PassedOver{.busy = 2, .leaving = 2}));
+              (PassedOver{.busy = 1, .leaving = 2}));
 }
 
 // Guards against routers that never learn of each other, and against one that
