Keep keys of workspaces apart and test the share ledger

Cause: workspace "a" with key "b/c" and workspace "a/b" with key "c" shared an entry of the key table, and so a result. The debt cap and the replication of the ledger had no tests.

Change: a separator that can't be part of a key; tests for both.

--- a/Source/Core/Admission/Offers.cpp
+++ b/Source/Core/Admission/Offers.cpp
@@ -10,10 +10,11 @@
 using common::Refusal;
 using common::Verdict;
 
-// Workspaces choose keys independently of each other.
+// Workspaces choose keys independently of each other. A key is the value of an
+// HTTP header and has no line break, so no two pairs give the same text.
 std::string ScopedKey(const common::WorkspaceName& workspace,
                       const std::string& key) {
-  return workspace.value + "/" + key;
+  return workspace.value + "\n" + key;
 }
 
 Attempt MakeAttempt(Context& context, const RequestOffered& event) {
--- a/Source/UnitTests/Core/Fairness/ShareLedgerTest.cpp
+++ b/Source/UnitTests/Core/Fairness/ShareLedgerTest.cpp
@@ -60,6 +60,53 @@
   BOOST_CHECK_EQUAL(VirtualTime(ledger, kKey), 8);
 }
 
+// Guards against debt beyond the cap, and against a cap that changes the order
+// of workspaces or lowers anyone.
+BOOST_AUTO_TEST_CASE(CapKeepsSpreadAndOrder) {
+  test::CheckProperty("the spread is at most the cap", [] {
+    ShareLedger ledger;
+    std::vector<ShareKey> keys;
+    std::vector<double> before;
+    const auto costs =
+        *rc::gen::container<std::vector<int>>(5, rc::gen::inRange(0, 1000));
+    for (std::size_t i = 0; i < costs.size(); ++i) {
+      keys.emplace_back(common::PoolName("pool"),
+                        common::WorkspaceName(std::to_string(i)));
+      AddService(ledger, static_cast<common::Incarnation>(1), keys[i],
+                 costs[i]);
+      before.push_back(VirtualTime(ledger, keys[i]));
+    }
+    const double cap = *rc::gen::inRange(1, 500);
+    CapSpread(ledger, keys, cap);
+    const double highest = *std::max_element(before.begin(), before.end());
+    for (std::size_t i = 0; i < keys.size(); ++i) {
+      const double now = VirtualTime(ledger, keys[i]);
+      RC_ASSERT(now == std::max(before[i], highest - cap));
+    }
+  });
+}
+
+// Guards against changes that are not told, or told again without a change.
+BOOST_AUTO_TEST_CASE(ChangesReplicateTheLedger) {
+  ShareLedger writer;
+  ShareLedger reader;
+  const auto self = static_cast<common::Incarnation>(1);
+  for (const common::Cost cost : {30, -10, 7}) {
+    AddService(writer, self, kKey, cost);
+    LiftTo(writer, kKey, 25);
+    const protocol::Shares changes = TakeChanges(writer);
+    BOOST_CHECK_EQUAL(changes.rows.size(), 1);
+    Merge(reader, changes);
+    BOOST_CHECK_EQUAL(VirtualTime(reader, kKey), VirtualTime(writer, kKey));
+  }
+  BOOST_CHECK(TakeChanges(writer).rows.empty());
+  // A repeated or older message is no news that would be passed on for ever.
+  Merge(reader, Snapshot(writer));
+  TakeChanges(reader);
+  Merge(reader, Snapshot(writer));
+  BOOST_CHECK(TakeChanges(reader).rows.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::fairness
