--- a/Source/UnitTests/Fleet/ScenariosTest.cpp
+++ b/Source/UnitTests/Fleet/ScenariosTest.cpp
@@ -13,7 +13,11 @@
 
 std::vector<std::string> ScenarioFiles() {
   std::vector<std::string> files;
-  for (const auto& it : std::filesystem::directory_iterator(SCENARIO_FOLDER)) {
+  // Scenarios that fail today are in a folder and a test of their own.
+  const char* folder = std::getenv("SCENARIO_SUBFOLDER");
+  const std::filesystem::path path =
+      std::filesystem::path(SCENARIO_FOLDER) / (folder ? folder : "");
+  for (const auto& it : std::filesystem::directory_iterator(path)) {
     if (it.path().extension() == ".scenario") files.push_back(it.path());
   }
   std::sort(files.begin(), files.end());
