--- a/Source/TestTools/Fakes/Fleet.cpp
+++ b/Source/TestTools/Fakes/Fleet.cpp
@@ -88,13 +88,8 @@
   });
 }
 
-bool Fleet::HasProcess(const std::string& name) const {
-  return routers_.count(name) + agents_.count(name) > 0;
-}
-
 void Fleet::Kill(const std::string& name) {
   if (!world_.network.IsAlive(name)) return;
-  world_.records.disturbed.insert(name);
   if (routers_.count(name) != 0) {
     routers_[name]->Kill();
     // Calls that had not reached the router yet.
@@ -113,15 +108,11 @@
   agents_.at(name)->Start();
 }
 
-void Fleet::Freeze(const std::string& name) {
-  world_.records.disturbed.insert(name);
-  world_.network.Freeze(name);
-}
+void Fleet::Freeze(const std::string& name) { world_.network.Freeze(name); }
 
 void Fleet::Resume(const std::string& name) { world_.network.Resume(name); }
 
 void Fleet::Cut(const std::string& a, const std::string& b) {
-  world_.records.disturbed.insert({a, b});
   world_.network.Cut(a, b);
 }
 
--- a/Source/TestTools/Fakes/Fleet.h
+++ b/Source/TestTools/Fakes/Fleet.h
@@ -41,7 +41,6 @@
   // Returns the index of the call.
   std::size_t Send(CallOptions options);
   void Disconnect(std::size_t call);
-  bool HasProcess(const std::string& name) const;
   void Kill(const std::string& name);
   void Restart(const std::string& name);
   void Freeze(const std::string& name);
--- a/Source/TestTools/Fakes/Records.h
+++ b/Source/TestTools/Fakes/Records.h
@@ -73,7 +73,6 @@
   std::set<std::string> listed_leaving;  // by the host list
   // Faults seen while running, for example a version that went back.
   std::vector<std::string> violations;
-  std::set<std::string> disturbed;  // processes killed, frozen or cut off
 };
 
 }  // namespace shallotbeam::fakes
