Report data centre and outages of the platform once

Cause: /status did not name the process's own data centre, and an outage of the host list logged a line per poll while one of the store logged nothing. Change: one line when a service stops answering and one when it answers again.

--- a/Source/Core/Runtime/AdminServer.cpp
+++ b/Source/Core/Runtime/AdminServer.cpp
@@ -89,14 +89,14 @@
                      {"shares", SharesOf(state.ledger)}});
 }
 
-void AddConfigReport(const ConfigHolder& config, const PeerDirectory& peers,
-                     bool ready, common::TimePoint now, HttpResponse* status) {
+void AddConfigReport(const ConfigReport& report, HttpResponse* status) {
+  const ConfigHolder& config = report.config;
   json body = json::parse(status->body, nullptr, /*allow_exceptions=*/false);
   if (!body.is_object()) return;
   json processes = json::array();
-  for (const auto& [name, peer] : peers.heard) {
+  for (const auto& [name, peer] : report.peers.heard) {
     const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - peer.last_heard);
+        report.now - peer.last_heard);
     processes.push_back(
         {{"name", name.value},
          {"role", peer.role == protocol::Role::kRouter ? "router" : "agent"},
@@ -104,7 +104,8 @@
          {"config_version", common::ToNumber(peer.config_version)},
          {"silent_ms", silent.count()}});
   }
-  body["ready"] = ready;
+  body["data_centre"] = report.data_centre.value;
+  body["ready"] = report.ready;
   body["config_rejected"] = {
       {"version", common::ToNumber(config.RejectedVersion())},
       {"cause", config.RejectedVersion() == common::ConfigVersion::kNone
--- a/Source/Core/Runtime/AdminServer.h
+++ b/Source/Core/Runtime/AdminServer.h
@@ -27,10 +27,18 @@
 transport::HttpResponse RouterStatus(const routing::RouterState& state);
 transport::HttpResponse AgentStatus(const admission::AgentState& state);
 
-// Adds the configuration to a /status response: whether the process is ready,
-// a rejected version, and the version of each process that it hears of.
-void AddConfigReport(const ConfigHolder& config, const PeerDirectory& peers,
-                     bool ready, common::TimePoint now,
+// What /status says about the configuration.
+struct ConfigReport {
+  const ConfigHolder& config;
+  const PeerDirectory& peers;
+  common::DataCentreName data_centre;  // of this process
+  bool ready = false;
+  common::TimePoint now;
+};
+
+// Adds data centre, readiness, a rejected version and the version of each
+// process heard of to a /status response.
+void AddConfigReport(const ConfigReport& report,
                      transport::HttpResponse* status);
 
 // Answers /readyz: 200, or 503 with the cause.
--- a/Source/Core/Runtime/AgentEngine.cpp
+++ b/Source/Core/Runtime/AgentEngine.cpp
@@ -76,7 +76,12 @@
   if (target == "/readyz") {
     return ReadyResponse(config_, ready, state_.draining);
   }
-  AddConfigReport(config_, directory_, ready, now, &status);
+  AddConfigReport({.config = config_,
+                   .peers = directory_,
+                   .data_centre = state_.options.data_centre,
+                   .ready = ready,
+                   .now = now},
+                  &status);
   return status;
 }
 
--- a/Source/Core/Runtime/AgentProcess.cpp
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -136,8 +136,10 @@
   if (!admin.ok()) return admin.status();
 
   common::Log(common::Subsystem::kMain, common::LogLevel::kInfo,
-              "event=started role=agent name={} incarnation={} data={}",
-              settings.name.value, common::ToString(incarnation),
+              "event=started role=agent name={} data_centre={} region={} "
+              "incarnation={} data={}",
+              settings.name.value, settings.data_centre.value,
+              settings.region.value, common::ToString(incarnation),
               common::ToString(settings.data));
   host.Run([post_event] { post_event(admission::Tick{}); },
            [post_event] { post_event(admission::DrainRequested{}); });
--- a/Source/Core/Runtime/RouterEngine.cpp
+++ b/Source/Core/Runtime/RouterEngine.cpp
@@ -34,6 +34,19 @@
   return routing::StoreOutcome::kUnavailable;
 }
 
+// Logs that a service of the platform stopped answering or answers again; one
+// line per change, as it is polled for as long as an outage lasts.
+void NoteAnswer(std::string_view service, const absl::Status& status,
+                bool* answers) {
+  if (status.ok() == *answers) return;
+  *answers = status.ok();
+  common::Log(common::Subsystem::kPlatform,
+              *answers ? common::LogLevel::kInfo : common::LogLevel::kWarning,
+              "event={} service={} error=\"{}\"",
+              *answers ? "answers_again" : "no_answer", service,
+              common::MessageOf(status));
+}
+
 }  // namespace
 
 routing::HostsListed ToProcesses(const std::vector<platform::Host>& hosts,
@@ -108,6 +121,7 @@
 
 void RouterEngine::OnStoredConfig(const platform::ReadResult& read) {
   EndConfigRead(polling_);
+  NoteAnswer("store", read.status, &store_answers_);
   if (!read.status.ok()) return;
   readiness_.store_read = true;
   const auto config =
@@ -118,12 +132,8 @@
 
 void RouterEngine::OnHosts(const platform::HostsResult& hosts) {
   hosts_read_in_flight_ = false;
-  if (!hosts.ok()) {
-    common::Log(common::Subsystem::kMembership, common::LogLevel::kWarning,
-                "event=host_list_unread error=\"{}\"",
-                common::MessageOf(hosts.status()));
-    return;
-  }
+  NoteAnswer("host_list", hosts.status(), &hosts_answer_);
+  if (!hosts.ok()) return;
   OnEvent(ToProcesses(*hosts, state_.agents));
 }
 
@@ -134,7 +144,12 @@
   if (target == "/readyz") {
     return ReadyResponse(config_, ready, state_.draining);
   }
-  AddConfigReport(config_, directory_, ready, now, &status);
+  AddConfigReport({.config = config_,
+                   .peers = directory_,
+                   .data_centre = state_.options.data_centre,
+                   .ready = ready,
+                   .now = now},
+                  &status);
   return status;
 }
 
--- a/Source/Core/Runtime/RouterEngine.h
+++ b/Source/Core/Runtime/RouterEngine.h
@@ -95,6 +95,8 @@
   Readiness readiness_;
   common::TimePoint next_hosts_read_;
   bool hosts_read_in_flight_ = false;
+  bool store_answers_ = true;
+  bool hosts_answer_ = true;
   common::TimePoint next_greeting_;
 };
 
--- a/Source/Core/Runtime/RouterProcess.cpp
+++ b/Source/Core/Runtime/RouterProcess.cpp
@@ -172,8 +172,10 @@
   if (!admin.ok()) return admin.status();
 
   common::Log(common::Subsystem::kMain, common::LogLevel::kInfo,
-              "event=started role=router name={} incarnation={} callers={}",
-              settings.name.value, common::ToString(incarnation),
+              "event=started role=router name={} data_centre={} region={} "
+              "incarnation={} callers={}",
+              settings.name.value, settings.data_centre.value,
+              settings.region.value, common::ToString(incarnation),
               common::ToString(settings.callers));
   host.Run([router] { caf::anon_send(*router, RouterTickMessage{}); },
            [&] {
