--- a/Source/Core/Common/Logging.cpp
+++ b/Source/Core/Common/Logging.cpp
@@ -79,7 +79,7 @@
 
 absl::Status ApplyLogLevels(std::string_view spec) {
   // A list with a mistake changes nothing.
-  const absl::Status status = CheckLogLevels(spec);
+  absl::Status status = CheckLogLevels(spec);
   if (!status.ok()) return status;
   return ReadLogLevels(spec, [](int subsystem, LogLevel level) {
     if (subsystem >= 0) {
--- a/Source/Core/Config/Keys.cpp
+++ b/Source/Core/Config/Keys.cpp
@@ -75,11 +75,11 @@
 
 // A string that `parse` accepts.
 template <typename Entry>
-Key<Entry> String(Text<Entry> text, std::string expected,
+Key<Entry> String(Text<Entry> text, const std::string& expected,
                   std::function<bool(const std::string&, Entry&)> parse,
                   std::function<std::string(const Entry&)> show) {
   return {.name = std::move(text.name),
-          .expected = std::move(expected),
+          .expected = expected,
           .unit = std::move(text.unit),
           .meaning = std::move(text.meaning),
           .read =
--- a/Source/Shallotbeam/StatusCommand.cpp
+++ b/Source/Shallotbeam/StatusCommand.cpp
@@ -135,8 +135,8 @@
   std::string output = "table";
   const auto ended = ReadCommandLine(
       {.command = "shallotbeam config status",
-       .options = {settings::Addresses("admin", "admin address of a router",
-                                       &admins),
+       .options = {settings::Addresses(
+                       "admin", "admin address of a router or agent", &admins),
                    OutputOption(&output)}},
       arguments, console, nullptr);
   if (ended) return *ended;
--- /dev/null
+++ b/Source/UnitTests/Core/Runtime/RouterEngineTest.cpp
@@ -0,0 +1,116 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Runtime/RouterEngine.h"
+
+namespace shallotbeam::runtime {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Holds every read until the test answers it.
+class HeldStore : public platform::KeyValueStore {
+ public:
+  void Read(const std::string& /*key*/,
+            std::function<void(platform::ReadResult)> done) override {
+    reads.push_back(std::move(done));
+  }
+  void CompareAndSwap(const std::string& /*key*/, std::uint64_t /*expected*/,
+                      const std::string& /*value*/,
+                      std::function<void(platform::SwapResult)>) override {}
+
+  std::vector<std::function<void(platform::ReadResult)>> reads;
+};
+
+class HeldHosts : public platform::HostList {
+ public:
+  void List(std::function<void(platform::HostsResult)> done) override {
+    lists.push_back(std::move(done));
+  }
+
+  std::vector<std::function<void(platform::HostsResult)>> lists;
+};
+
+struct Fixture {
+  common::ManualClock clock;
+  boost::asio::io_context context;
+  transport::HttpClient client{context};
+  HeldStore store;
+  HeldHosts hosts;
+  std::unique_ptr<transport::Mailbox> mailbox =
+      *transport::Mailbox::Open({"127.0.0.1", 0}, [](const std::string&) {});
+  RouterEngine engine{
+      {.name = common::ProcessName("r1")},
+      {.clock = clock,
+       .client = client,
+       .mailbox = *mailbox,
+       .store = store,
+       .post_event = [](const routing::RouterEvent&) {},
+       .post_stored_config =
+           [this](const platform::ReadResult& it) {
+             engine.OnStoredConfig(it);
+           },
+       .on_drained = [] {},
+       .hosts = &hosts,
+       .post_hosts =
+           [this](const platform::HostsResult& it) { engine.OnHosts(it); }}};
+
+  // Ticks every 10 ms.
+  void Run(common::Duration time) {
+    for (common::Duration it{0}; it < time; it += milliseconds(10)) {
+      clock.Advance(milliseconds(10));
+      engine.OnTick();
+    }
+  }
+  int Ready() { return engine.OnAdmin("/readyz", {}).status; }
+};
+
+const platform::ReadResult kNoAnswer = {.status = absl::UnavailableError("")};
+const platform::ReadResult kPublished = {
+    .stored = {.revision = 7,
+               .value = R"({"pools": {"p": {}}, "kinds": {"k": {"pool": "p"}},
+                            "workspaces": {"w": {"kinds": ["k"]}}})"}};
+
+}  // namespace
+
+// Guards against a router that takes callers before it has a configuration, and
+// against reads that pile up while the store is slow or down.
+BOOST_FIXTURE_TEST_CASE(ReadyOnceTheStoreWasRead, Fixture) {
+  Run(std::chrono::seconds(5));
+  BOOST_TEST(store.reads.size() == 1U);
+  store.reads.back()(kNoAnswer);
+  BOOST_TEST(Ready() == 503);
+  Run(std::chrono::seconds(2));
+  BOOST_REQUIRE(store.reads.size() == 2U);
+  store.reads.back()(kPublished);
+  BOOST_TEST(Ready() == 200);
+  BOOST_TEST(common::ToNumber(engine.State().config.version) == 7U);
+  // An outage later on changes nothing.
+  Run(std::chrono::seconds(2));
+  store.reads.back()(kNoAnswer);
+  BOOST_TEST(Ready() == 200);
+  engine.OnEvent(routing::DrainRequested{});
+  BOOST_TEST(Ready() == 503);
+}
+
+// Guards against a host list that is not polled, polled without end while it
+// does not answer, or whose failure stops the polling.
+BOOST_FIXTURE_TEST_CASE(PollsTheHostList, Fixture) {
+  Run(std::chrono::seconds(3));
+  BOOST_TEST(hosts.lists.size() == 1U);
+  hosts.lists.back()(absl::UnavailableError(""));
+  Run(milliseconds(20));
+  BOOST_TEST(hosts.lists.size() == 2U);
+  hosts.lists.back()(std::vector<platform::Host>());
+  Run(milliseconds(400));
+  BOOST_TEST(hosts.lists.size() == 2U);
+  Run(milliseconds(200));
+  BOOST_TEST(hosts.lists.size() == 3U);
+}
+
+}  // namespace shallotbeam::runtime
