--- a/Source/Core/Settings/Settings.cpp
+++ b/Source/Core/Settings/Settings.cpp
@@ -90,7 +90,7 @@
                          : absl::StrCat("the known key \"", nearest, "\""),
                      "an unknown key");
     }
-    const absl::Status status = ApplyJson(*it->second, layer, value);
+    absl::Status status = ApplyJson(*it->second, layer, value);
     if (!status.ok()) return status;
     given->insert(it->second->name);
   }
@@ -111,8 +111,9 @@
     if (!it.standard.empty()) {
       absl::StrAppend(&text, " [default ", it.standard, "]");
     }
-    if (it.presence == Presence::kRequired)
+    if (it.presence == Presence::kRequired) {
       absl::StrAppend(&text, " [required]");
+    }
     options.add_options()(it.name.c_str(),
                           po::value<std::vector<std::string>>(), text.c_str());
   }
@@ -142,12 +143,13 @@
 }
 
 template <typename Integer>
-Setting Integral(std::string name, std::string meaning, Integer low,
-                 Integer high, std::function<void(Integer)> store) {
+Setting Integral(const std::string& name, const std::string& meaning,
+                 Integer low, Integer high,
+                 std::function<void(Integer)> store) {
   return {
-      .name = std::move(name),
+      .name = name,
       .expected = absl::StrCat("an integer from ", low, " to ", high),
-      .meaning = std::move(meaning),
+      .meaning = meaning,
       .number = true,
       .parse = [low, high, store = std::move(store)](const std::string& text) {
         Integer value = 0;
@@ -173,33 +175,31 @@
           }};
 }
 
-Setting Number(std::string name, std::string meaning, int low, int high,
-               int* target) {
-  Setting setting =
-      Integral<int>(std::move(name), std::move(meaning), low, high,
-                    [target](int value) { *target = value; });
+Setting Number(const std::string& name, const std::string& meaning, int low,
+               int high, int* target) {
+  Setting setting = Integral<int>(name, meaning, low, high,
+                                  [target](int value) { *target = value; });
   setting.standard = absl::StrCat(*target);
   return setting;
 }
 
-Setting Number(std::string name, std::string meaning, std::int64_t low,
-               std::int64_t high, std::int64_t* target) {
+Setting Number(const std::string& name, const std::string& meaning,
+               std::int64_t low, std::int64_t high, std::int64_t* target) {
   Setting setting =
-      Integral<std::int64_t>(std::move(name), std::move(meaning), low, high,
+      Integral<std::int64_t>(name, meaning, low, high,
                              [target](std::int64_t value) { *target = value; });
   setting.standard = absl::StrCat(*target);
   return setting;
 }
 
-Setting Milliseconds(std::string name, std::string meaning,
+Setting Milliseconds(const std::string& name, const std::string& meaning,
                      std::chrono::milliseconds low,
                      std::chrono::milliseconds high,
                      std::chrono::milliseconds* target) {
-  Setting setting =
-      Integral<std::int64_t>(std::move(name), std::move(meaning), low.count(),
-                             high.count(), [target](std::int64_t value) {
-                               *target = std::chrono::milliseconds(value);
-                             });
+  Setting setting = Integral<std::int64_t>(
+      name, meaning, low.count(), high.count(), [target](std::int64_t value) {
+        *target = std::chrono::milliseconds(value);
+      });
   setting.standard = absl::StrCat(target->count());
   setting.unit = "milliseconds";
   return setting;
@@ -236,7 +236,7 @@
 }
 
 Setting Choice(std::string name, std::string meaning,
-               std::vector<std::string> choices, std::string* target) {
+               const std::vector<std::string>& choices, std::string* target) {
   return {.name = std::move(name),
           .expected = absl::StrJoin(choices, " or "),
           .standard = *target,
@@ -278,11 +278,11 @@
   }
   Given given;
   if (values.count("settings") != 0) {
-    const absl::Status file =
+    absl::Status file =
         ApplyFile(settings, values["settings"].as<std::string>(), &given);
     if (!file.ok()) return file;
   }
-  const absl::Status line = ApplyCommandLine(settings, values, &given);
+  absl::Status line = ApplyCommandLine(settings, values, &given);
   if (!line.ok()) return line;
   for (const Setting& it : settings) {
     if (it.presence == Presence::kOptional || given.count(it.name) != 0) {
--- a/Source/Core/Settings/Settings.h
+++ b/Source/Core/Settings/Settings.h
@@ -47,11 +47,11 @@
              Presence presence = Presence::kOptional) {
   return Text(std::move(name), std::move(meaning), &target->value, presence);
 }
-Setting Number(std::string name, std::string meaning, int low, int high,
-               int* target);
-Setting Number(std::string name, std::string meaning, std::int64_t low,
-               std::int64_t high, std::int64_t* target);
-Setting Milliseconds(std::string name, std::string meaning,
+Setting Number(const std::string& name, const std::string& meaning, int low,
+               int high, int* target);
+Setting Number(const std::string& name, const std::string& meaning,
+               std::int64_t low, std::int64_t high, std::int64_t* target);
+Setting Milliseconds(const std::string& name, const std::string& meaning,
                      std::chrono::milliseconds low,
                      std::chrono::milliseconds high,
                      std::chrono::milliseconds* target);
@@ -62,7 +62,7 @@
                   Presence presence = Presence::kOptional);
 // One of `choices`.
 Setting Choice(std::string name, std::string meaning,
-               std::vector<std::string> choices, std::string* target);
+               const std::vector<std::string>& choices, std::string* target);
 Setting LogLevels(std::string name, std::string meaning, std::string* target);
 
 // Reads the settings file named by --settings, if any, and the command line.
