--- a/Source/Shallotbeam/StatusCommand.cpp
+++ b/Source/Shallotbeam/StatusCommand.cpp
@@ -153,8 +153,9 @@
                common::MessageOf(status.status()));
   }
   std::set<std::uint64_t> versions;
-  for (const auto& [name, process] : processes)
+  for (const auto& [name, process] : processes) {
     versions.insert(process.version);
+  }
   if (output == "json") {
     fmt::print(console.out, "{}\n", ToJson(processes).dump(2));
   } else {
--- a/Source/UnitTests/Core/Runtime/StoreReadersTest.cpp
+++ b/Source/UnitTests/Core/Runtime/StoreReadersTest.cpp
@@ -21,6 +21,7 @@
 
 std::vector<ProcessName> Names(int count) {
   std::vector<ProcessName> names;
+  names.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) names.emplace_back("r" + std::to_string(i));
   return names;
 }
