--- a/Source/Core/Routing/Arrivals.cpp
+++ b/Source/Core/Routing/Arrivals.cpp
@@ -80,6 +80,7 @@
   if (kind.idempotent) return request;
 
   request.key = event.idempotency_key;
+  request.store_revision = context.state.store_revision;
   if (const auto ticket = ParseTicket(request.key)) {
     request.owner = ticket->owner;
   } else {
@@ -88,8 +89,13 @@
   return request;
 }
 
-void RefuseUnknown(Context& context, common::RequestId id, Reason reason) {
-  Refusal refusal{.verdict = Verdict::kNotRun, .reason = reason};
+// Refuses a call without a confirmation. An earlier send of the key may have
+// run through another router, or under an earlier configuration.
+void RefuseUnknown(Context& context, common::RequestId id, Reason reason,
+                   const std::string& key = "") {
+  const bool vouched = key.empty() || reason == Reason::kBadTicket;
+  Refusal refusal{.verdict = vouched ? Verdict::kNotRun : Verdict::kMayHaveRun,
+                  .reason = reason};
   const bool temporary =
       reason == Reason::kNoConfiguration || reason == Reason::kDraining;
   if (temporary) {
@@ -105,16 +111,19 @@
   Reason reason = Reason::kNone;
   const auto caller = CheckCaller(state, event.workspace, event.kind,
                                   event.credential_sha256, &reason);
-  if (!caller) return RefuseUnknown(context, event.id, reason);
+  if (!caller) {
+    return RefuseUnknown(context, event.id, reason, event.idempotency_key);
+  }
   reason = CheckRequest(state, *caller->kind, event);
   if (reason != Reason::kNone && reason != Reason::kDraining) {
-    return RefuseUnknown(context, event.id, reason);
+    return RefuseUnknown(context, event.id, reason, event.idempotency_key);
   }
 
   const auto [it, inserted] = state.requests.emplace(
       event.id, MakeRequest(context, *caller->kind, event));
+  if (!inserted) return;
   Request& request = it->second;
-  state.deadlines.emplace(request.deadline, request.id);
+  Arm(context, request, request.deadline);
   if (reason == Reason::kDraining) {
     return GiveUp(
         context, request,
@@ -123,8 +132,11 @@
          .retry_after = RetryAfter(context, std::chrono::seconds(1))});
   }
   if (suspects::IsBanned(state.suspects, request.fingerprint, context.now)) {
+    // A banned request has run and crashed upstreams under some key.
     return GiveUp(context, request,
-                  {.verdict = Verdict::kNotRun, .reason = Reason::kPoisonous});
+                  {.verdict = request.idempotent ? Verdict::kNotRun
+                                                 : Verdict::kMayHaveRun,
+                   .reason = Reason::kPoisonous});
   }
   if (request.idempotent) return Place(context, request);
   if (request.owner) return DispatchToOwner(context, request);
@@ -138,6 +150,9 @@
   const auto caller = CheckCaller(state, event.workspace, event.kind,
                                   event.credential_sha256, &reason);
   if (!caller) return RefuseUnknown(context, event.id, reason);
+  if (state.draining) {
+    return RefuseUnknown(context, event.id, Reason::kDraining);
+  }
   const common::ProcessName* agent = ChooseForTicket(
       state.agents, caller->kind->pool, context.now, state.random);
   if (agent == nullptr) {
@@ -156,10 +171,14 @@
 }
 
 void OnBindingRead(Context& context, const BindingRead& event) {
+  NoteStoreRevision(context.state, event.revision);
   const auto it = context.state.requests.find(event.id);
   if (it == context.state.requests.end()) return;
   Request& request = it->second;
   if (request.phase != Phase::kReadingBinding) return;
+  if (context.now >= request.deadline) {
+    return Abandon(context, request, Reason::kDeadlineExceeded);
+  }
   if (event.outcome == StoreOutcome::kUnavailable) {
     return GiveUp(
         context, request,
@@ -174,6 +193,19 @@
         context, request,
         {.verdict = Verdict::kMayHaveRun, .reason = Reason::kStoreUnavailable});
   }
+  // The read may have taken effect after a later send was told "not run", and
+  // then this one must not run. Only what the store held before the arrival is
+  // certain; a resend through this router is.
+  const bool refused_meanwhile =
+      binding && binding->epoch > 0 && event.revision > request.store_revision;
+  if (refused_meanwhile) {
+    return Refuse(
+        context, request,
+        {.verdict = Verdict::kMayHaveRun,
+         .reason = Reason::kKeyInProgress,
+         .retry_after = RetryAfter(context, std::chrono::milliseconds(100))});
+  }
+  if (binding) request.binding_epoch = binding->epoch;
   if (binding && !binding->tombstone) {
     request.owner = binding->owner;
     return DispatchToOwner(context, request);
--- a/Source/Core/Routing/KeyBinding.h
+++ b/Source/Core/Routing/KeyBinding.h
@@ -40,6 +40,13 @@
   bool tombstone = false;  // refused as not run; may be bound over
   Owner owner;             // empty for a tombstone
   common::RequestId written_by;
+  // Counts the writes of one request: a value must be unique to its write, or
+  // an earlier one would be taken for it when an answer is lost.
+  std::uint32_t write = 0;
+  // Tombstones written for the key so far. An attempt that read the key before
+  // a tombstone was written must not run under a later binding: its caller was
+  // told that it did not run.
+  std::uint64_t epoch = 0;
 };
 
 std::string FormatBinding(const Binding& binding);
--- a/Source/Core/Runtime/AdminServer.h
+++ b/Source/Core/Runtime/AdminServer.h
@@ -6,26 +6,35 @@
 #include <memory>
 
 #include "Admission/Agent.h"
+#include "Common/Clock.h"
 #include "Common/Types.h"
 #include "Routing/Router.h"
 #include "Runtime/ConfigHolder.h"
 #include "Runtime/PeerDirectory.h"
 #include "Transport/HttpServer.h"
+#include "Transport/Mailbox.h"
 #include "absl/status/statusor.h"
 
-// HTTP for operators: /livez, /readyz and /status.
+// HTTP for operators: /livez, /readyz, /metrics and /status.
 namespace shallotbeam::runtime {
 
 using StatusHandler =
     std::function<void(std::shared_ptr<transport::HttpExchange>)>;
 
-// `on_status` answers /status and /readyz.
+// `on_status` answers all but /livez.
 absl::StatusOr<std::shared_ptr<transport::HttpServer>> ListenAdmin(
     boost::asio::io_context& context, const common::Endpoint& endpoint,
     StatusHandler on_status);
 
-transport::HttpResponse RouterStatus(const routing::RouterState& state);
-transport::HttpResponse AgentStatus(const admission::AgentState& state);
+// `control` counts the control messages of the process since its start.
+transport::HttpResponse RouterStatus(const routing::RouterState& state,
+                                     common::TimePoint now,
+                                     const transport::TrafficCount& control);
+transport::HttpResponse AgentStatus(const admission::AgentState& state,
+                                    const transport::TrafficCount& control);
+
+// Answers /metrics with the Prometheus text format.
+transport::HttpResponse MetricsResponse(std::string text);
 
 // What /status says about the configuration.
 struct ConfigReport {
--- a/Source/UnitTests/Core/Runtime/RouterEngineTest.cpp
+++ b/Source/UnitTests/Core/Runtime/RouterEngineTest.cpp
@@ -1,6 +1,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 #include <vector>
@@ -67,7 +68,7 @@
       engine.OnTick();
     }
   }
-  int Ready() { return engine.OnAdmin("/readyz", {}).status; }
+  int Ready() { return engine.OnAdmin("/readyz").status; }
 };
 
 const platform::ReadResult kNoAnswer = {.status = absl::UnavailableError("")};
@@ -89,7 +90,8 @@
   BOOST_REQUIRE(store.reads.size() == 2U);
   store.reads.back()(kPublished);
   BOOST_TEST(Ready() == 200);
-  BOOST_TEST(common::ToNumber(engine.State().config.version) == 7U);
+  const auto status = nlohmann::json::parse(engine.OnAdmin("/status").body);
+  BOOST_TEST(status.value("config_version", 0) == 7);
   // An outage later on changes nothing.
   Run(std::chrono::seconds(2));
   store.reads.back()(kNoAnswer);
