--- a/Source/Core/Runtime/AgentEngine.cpp
+++ b/Source/Core/Runtime/AgentEngine.cpp
@@ -85,7 +85,12 @@
     return ReadyResponse(config_, ready, state_.draining);
   }
   transport::HttpResponse status = AgentStatus(state_, traffic);
-  AddConfigReport(config_, directory_, ready, now, &status);
+  AddConfigReport({.config = config_,
+                   .peers = directory_,
+                   .data_centre = state_.options.data_centre,
+                   .ready = ready,
+                   .now = now},
+                  &status);
   return status;
 }
 
--- a/Source/Shallotbeam/StatusCommand.cpp
+++ b/Source/Shallotbeam/StatusCommand.cpp
@@ -135,8 +135,8 @@
   std::string output = "table";
   const auto ended = ReadCommandLine(
       {.command = "shallotbeam config status",
-       .options = {settings::Addresses("admin", "admin address of a router",
-                                       &admins),
+       .options = {settings::Addresses(
+                       "admin", "admin address of a router or agent", &admins),
                    OutputOption(&output)}},
       arguments, console, nullptr);
   if (ended) return *ended;
@@ -153,8 +153,9 @@
                common::MessageOf(status.status()));
   }
   std::set<std::uint64_t> versions;
-  for (const auto& [name, process] : processes)
+  for (const auto& [name, process] : processes) {
     versions.insert(process.version);
+  }
   if (output == "json") {
     fmt::print(console.out, "{}\n", ToJson(processes).dump(2));
   } else {
