--- a/Source/TestTools/Load/Fleet.cpp
+++ b/Source/TestTools/Load/Fleet.cpp
@@ -24,7 +24,7 @@
     const Experiment& experiment, const FleetOptions& options) {
   std::unique_ptr<Fleet> fleet(new Fleet(options));
   fleet->next_port_ = options.first_port;
-  const absl::Status status = fleet->StartAll(experiment);
+  absl::Status status = fleet->StartAll(experiment);
   if (!status.ok()) return status;
   return fleet;
 }
@@ -151,11 +151,11 @@
     AddPool(experiment.fleet, it);
   }
   for (FleetProcess& it : processes_) {
-    const absl::Status status = Spawn(it);
+    absl::Status status = Spawn(it);
     if (!status.ok()) return status;
   }
   if (!options_.engines_only) {
-    const absl::Status published = Publish(experiment);
+    absl::Status published = Publish(experiment);
     if (!published.ok()) return published;
   }
   return WaitUntilReady();
--- a/Source/TestTools/Load/Report.cpp
+++ b/Source/TestTools/Load/Report.cpp
@@ -109,7 +109,7 @@
     const json& other = baseline["phases"][phase];
     for (const auto& [pool, it] : values["pools"].items()) {
       const json& that = other["pools"][pool];
-      const std::string name = phase + " " + pool;
+      const std::string name = fmt::format("{} {}", phase, pool);
       row(name + " slots used %", Number(it, "utilisation") * 100,
           Number(that, "utilisation") * 100);
       row(name + " fairness gap", Number(it, "gap"), Number(that, "gap"));
--- a/Source/TestTools/Load/Sampler.cpp
+++ b/Source/TestTools/Load/Sampler.cpp
@@ -14,10 +14,7 @@
 }  // namespace
 
 Sampler::Sampler(boost::asio::io_context& context, SampleTarget target)
-    : context_(context),
-      client_(context),
-      target_(std::move(target)),
-      timer_(context) {}
+    : client_(context), target_(std::move(target)), timer_(context) {}
 
 void Sampler::Start() {
   timer_.expires_after(kInterval);
--- a/Source/TestTools/Load/Sampler.h
+++ b/Source/TestTools/Load/Sampler.h
@@ -84,7 +84,6 @@
   void AskEngine(const std::shared_ptr<Round>& round,
                  const SampleTarget::EngineTarget& target);
 
-  boost::asio::io_context& context_;
   transport::HttpClient client_;
   SampleTarget target_;
   boost::asio::steady_timer timer_;
