Answer a request that arrived before the previous response

A request whose bytes all arrived before the server had noted the end of the previous response was never answered: the read that watches for the client's end stayed pending, and nothing else read the buffer. The caller waited until its own timeout. The watch now ends when the response has ended and bytes are buffered.

--- a/Source/Core/Transport/HttpSession.cpp
+++ b/Source/Core/Transport/HttpSession.cpp
@@ -161,6 +161,9 @@
       buffer_.prepare(kWatchBufferBytes),
       [self = shared_from_this()](error_code ec, std::size_t n) {
         self->watching_ = false;
+        const bool ended_watch = ec == net::error::operation_aborted &&
+                                 !self->closed_ && self->exchange_ == nullptr;
+        if (ended_watch) return self->ReadHeader();
         if (ec) return self->Close();
         self->buffer_.commit(n);
         if (self->exchange_ == nullptr) return self->ReadHeader();
@@ -256,8 +259,10 @@
   exchange_ = nullptr;
   client_gone_ = nullptr;
   if (!keep_alive_) return Close();
-  // A pending watch delivers the first bytes of the next request.
-  if (!watching_) ReadHeader();
+  // A pending watch delivers the first bytes of the next request. If the buffer
+  // holds bytes already, they may be all of it and no read would complete.
+  if (!watching_) return ReadHeader();
+  if (buffer_.size() > 0) stream_.cancel();
 }
 
 void HttpSession::Close() {
