--- a/Source/UnitTests/Core/Transport/HttpServerTest.cpp
+++ b/Source/UnitTests/Core/Transport/HttpServerTest.cpp
@@ -32,6 +32,25 @@
   BOOST_CHECK(text.find("/b;") < text.find("/c;"));
 }
 
+// Guards against a request that is never answered because all of it arrived
+// before the response to the previous one was written.
+BOOST_AUTO_TEST_CASE(RequestsThatArriveBeforeTheResponseAreAnswered) {
+  std::vector<std::thread> answers;
+  HttpFixture fixture([&](const Exchange& exchange) {
+    answers.emplace_back([exchange] {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      Echo(exchange);
+    });
+  });
+  auto socket = fixture.Connect();
+  WriteText(socket,
+            "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"
+            "GET /c HTTP/1.1\r\n\r\n");
+  const std::string text = ReadUntil(socket, "/c;");
+  for (std::thread& it : answers) it.join();
+  BOOST_CHECK(text.find("/c;") != std::string::npos);
+}
+
 // Guards against connections that stay open for ever after a response.
 BOOST_AUTO_TEST_CASE(IdleConnectionIsClosed) {
   HttpServerOptions options;
