Use the configured weights in the router's virtual times

Cause: only agents took the weights of workspaces over from the configuration; a router showed weight 1 for all, in /status and in the fairness gap of /metrics. Change: a router sets the weights of all pools with each configuration.

--- a/Source/Core/Routing/Control.cpp
+++ b/Source/Core/Routing/Control.cpp
@@ -189,6 +189,11 @@
   if (config.version <= context.state.config.version) return;
   RouterState& state = context.state;
   state.config = config;
+  for (const auto& [pool, pool_config] : config.pools) {
+    for (const auto& [name, workspace] : config.workspaces) {
+      fairness::SetWeight(state.ledger, {pool, name}, workspace.weight);
+    }
+  }
   for (auto& [name, pool] : state.pools) {
     ForgetIdle(pool.queue, [&](const common::WorkspaceName& workspace) {
       return config.workspaces.contains(workspace);
--- a/Source/UnitTests/Core/Routing/RouterTest.cpp
+++ b/Source/UnitTests/Core/Routing/RouterTest.cpp
@@ -240,6 +240,23 @@
               (PassedOver{.busy = 1, .leaving = 2}));
 }
 
+// Guards against virtual times at routers that leave out the weights: the
+// fairness gap in the metrics would be wrong.
+BOOST_AUTO_TEST_CASE(ConfigurationSetsTheWeights) {
+  Fixture fixture;
+  config::FleetConfig config = MakeConfig();
+  config.version = static_cast<common::ConfigVersion>(2);
+  config.workspaces[kWorkspace].weight = 4;
+  fixture.Send(ConfigReceived{.config = config});
+  fixture.Receive(kA, kFirst,
+                  protocol::Shares{.rows = {{.writer = kFirst,
+                                             .pool = kPool,
+                                             .workspace = kWorkspace,
+                                             .charged = 20}}});
+  BOOST_CHECK_EQUAL(
+      fairness::VirtualTime(fixture.router.ledger, {kPool, kWorkspace}), 5);
+}
+
 // Guards against routers that never learn of each other, and against one that
 // stays known after it is gone.
 BOOST_AUTO_TEST_CASE(HeartbeatsNameKnownRouters) {
