Let a draining process send its last responses before it exits

Cause: the decision state reports the end of the drain when the last request is decided, and the process then stopped its network threads at once, while the response could still be on its way. A router also stopped accepting at the signal, before a load balancer could notice. Change: the process stops when no response is pending (at most 5 s later); a router fails /readyz at the signal and serves new requests for drain_grace (1 s) more. Before: seen by reading the code; after: UnsentResponseIsPending passes.

--- a/Source/Core/Runtime/AgentProcess.cpp
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -107,6 +107,7 @@
       .data = settings.data,
       .seed_routers = settings.routers,
       .drain_deadline = settings.drain_deadline};
+  std::shared_ptr<transport::HttpServer> data;
   const auto engine = std::make_shared<AgentEngine>(
       options,
       AgentEnvironment{
@@ -120,14 +121,20 @@
                 caf::anon_send(
                     *agent, ResultMessage{std::move(key), std::move(result)});
               },
-          .on_drained = [&host] { host.Stop(); }});
+          .on_drained =
+              [&host, &data] {
+                // The last responses are decided, but still on their way.
+                host.StopWhen(
+                    [&data] { return data->PendingResponses() == 0; });
+              }});
   *agent = actors.spawn(AgentActor, engine);
 
-  const auto data = transport::HttpServer::Listen(
+  auto listening = transport::HttpServer::Listen(
       host.Context(),
       {.endpoint = settings.data, .make_error = ToMalformedResponse},
       [agent](const auto& exchange) { HandleOffer(*agent, exchange); });
-  if (!data.ok()) return data.status();
+  if (!listening.ok()) return listening.status();
+  data = *std::move(listening);
   const auto admin = ListenAdmin(
       host.Context(), settings.admin, [agent](const auto& exchange) {
         caf::anon_send(*agent, AgentStatusMessage{exchange});
--- a/Source/Core/Runtime/ProcessHost.cpp
+++ b/Source/Core/Runtime/ProcessHost.cpp
@@ -1,6 +1,7 @@
 #include "Runtime/ProcessHost.h"
 
 #include <csignal>
+#include <memory>
 #include <random>
 #include <utility>
 
@@ -55,6 +56,27 @@
   });
 }
 
+void ProcessHost::After(common::Duration delay, std::function<void()> action) {
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(context_, delay);
+  timer->async_wait(
+      [timer, action = std::move(action)](boost::system::error_code ec) {
+        if (!ec) action();
+      });
+}
+
+void ProcessHost::StopWhen(std::function<bool()> idle) {
+  constexpr int kPolls = 500;
+  StopWhenBefore(std::move(idle), kPolls);
+}
+
+void ProcessHost::StopWhenBefore(std::function<bool()> idle, int polls_left) {
+  if (idle() || polls_left == 0) return Stop();
+  After(kTickInterval, [this, idle = std::move(idle), polls_left] {
+    StopWhenBefore(idle, polls_left - 1);
+  });
+}
+
 common::Incarnation DrawIncarnation() {
   std::random_device device;
   std::uint64_t number = 0;
--- a/Source/Core/Runtime/ProcessHost.h
+++ b/Source/Core/Runtime/ProcessHost.h
@@ -23,12 +23,17 @@
   // Calls `on_tick` every 10 ms and `on_drain` at the first signal to end.
   // Returns after Stop() or a second signal.
   void Run(std::function<void()> on_tick, std::function<void()> on_drain);
+  // Calls `action` on a network thread after `delay`. Thread-safe.
+  void After(common::Duration delay, std::function<void()> action);
+  // Stops once `idle` returns true, at the latest after 5 s. Thread-safe.
+  void StopWhen(std::function<bool()> idle);
   // Thread-safe.
   void Stop() { context_.stop(); }
 
  private:
   void ScheduleTick();
   void AwaitSignal();
+  void StopWhenBefore(std::function<bool()> idle, int polls_left);
 
   int threads_;
   boost::asio::io_context context_;
--- a/Source/Core/Runtime/ProcessSettings.cpp
+++ b/Source/Core/Runtime/ProcessSettings.cpp
@@ -59,6 +59,9 @@
   keys.push_back(settings::Address(
       "hosts", "address of the platform's host list; without it none is read",
       &target->hosts));
+  keys.push_back(settings::Milliseconds(
+      "drain-grace-ms", "time to serve new requests after the signal to end",
+      kShortestDrain, kLongestDrain, &target->drain_grace));
   return keys;
 }
 
--- a/Source/Core/Runtime/ProcessSettings.h
+++ b/Source/Core/Runtime/ProcessSettings.h
@@ -28,6 +28,9 @@
   common::Endpoint callers{"127.0.0.1", 8080};  // HTTP for callers
   common::Endpoint platform{"127.0.0.1", 2379};
   common::Endpoint hosts;  // the platform's host list; empty: not read
+  // Time for which a draining router still serves new requests, so that the
+  // load balancer can turn to others first.
+  std::chrono::milliseconds drain_grace{1'000};
 
   RouterSettings();
 };
--- a/Source/Core/Runtime/RouterEngine.cpp
+++ b/Source/Core/Runtime/RouterEngine.cpp
@@ -155,7 +155,7 @@
   }
   const bool ready = CheckReady(readiness_, config_, directory_, now);
   if (target == "/readyz") {
-    return ReadyResponse(config_, ready, state_.draining);
+    return ReadyResponse(config_, ready, leaving_ || state_.draining);
   }
   transport::HttpResponse status = RouterStatus(state_, now, traffic);
   AddConfigReport({.config = config_,
--- a/Source/Core/Runtime/RouterEngine.h
+++ b/Source/Core/Runtime/RouterEngine.h
@@ -57,6 +57,8 @@
   // Answers /readyz, /metrics and /status.
   transport::HttpResponse OnAdmin(const std::string& target);
   void OnTick();
+  // The process is about to drain: /readyz fails from now on.
+  void OnLeaving() { leaving_ = true; }
 
  private:
   // A caller's connection and the attempt that serves it.
@@ -96,6 +98,7 @@
   ConfigPolling polling_;
   Readiness readiness_;
   RouterMetrics metrics_;
+  bool leaving_ = false;
   common::TimePoint next_hosts_read_;
   bool hosts_read_in_flight_ = false;
   bool store_answers_ = true;
--- a/Source/Core/Runtime/RouterProcess.cpp
+++ b/Source/Core/Runtime/RouterProcess.cpp
@@ -36,6 +36,7 @@
   platform::HostsResult hosts;
 };
 struct RouterTickMessage {};
+struct RouterLeavingMessage {};
 struct RouterStatusMessage {
   std::shared_ptr<transport::HttpExchange> exchange;
 };
@@ -49,6 +50,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::StoredConfigMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::HostsMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::RouterTickMessage)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::RouterLeavingMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(shallotbeam::runtime::RouterStatusMessage)
 
 namespace shallotbeam::runtime {
@@ -72,6 +74,7 @@
       },
       [engine](const HostsMessage& message) { engine->OnHosts(message.hosts); },
       [engine](const RouterTickMessage&) { engine->OnTick(); },
+      [engine](const RouterLeavingMessage&) { engine->OnLeaving(); },
       [engine](const RouterStatusMessage& message) {
         message.exchange->Send(
             engine->OnAdmin(message.exchange->Request().target));
@@ -139,6 +142,7 @@
       .control = settings.control,
       .seed = common::ToNumber(incarnation),
       .drain_deadline = settings.drain_deadline};
+  std::shared_ptr<transport::HttpServer> callers;
   const auto engine = std::make_shared<RouterEngine>(
       options,
       RouterEnvironment{
@@ -151,7 +155,12 @@
               [router](platform::ReadResult read) {
                 caf::anon_send(*router, StoredConfigMessage{std::move(read)});
               },
-          .on_drained = [&host] { host.Stop(); },
+          .on_drained =
+              [&host, &callers] {
+                // The last responses are decided, but still on their way.
+                host.StopWhen(
+                    [&callers] { return callers->PendingResponses() == 0; });
+              },
           .hosts = settings.hosts.address.empty() ? nullptr : &hosts,
           .post_hosts =
               [router](platform::HostsResult listed) {
@@ -160,11 +169,12 @@
           .seed_routers = settings.routers});
   *router = actors.spawn(RouterActor, engine);
 
-  const auto callers = transport::HttpServer::Listen(
+  auto listening = transport::HttpServer::Listen(
       host.Context(),
       {.endpoint = settings.callers, .make_error = ToMalformedResponse},
       CallerHandler(*router, incarnation));
-  if (!callers.ok()) return callers.status();
+  if (!listening.ok()) return listening.status();
+  callers = *std::move(listening);
   const auto admin = ListenAdmin(
       host.Context(), settings.admin, [router](const auto& exchange) {
         caf::anon_send(*router, RouterStatusMessage{exchange});
@@ -179,8 +189,13 @@
               common::ToString(settings.callers));
   host.Run([router] { caf::anon_send(*router, RouterTickMessage{}); },
            [&] {
-             (*callers)->Close();
-             post_event(routing::DrainRequested{});
+             // The load balancer sees /readyz fail and sends callers elsewhere;
+             // until then their requests are served.
+             caf::anon_send(*router, RouterLeavingMessage{});
+             host.After(settings.drain_grace, [&] {
+               callers->Close();
+               post_event(routing::DrainRequested{});
+             });
            });
   caf::anon_send_exit(*router, caf::exit_reason::user_shutdown);
   *router = nullptr;
--- a/Source/Core/Transport/HttpServer.cpp
+++ b/Source/Core/Transport/HttpServer.cpp
@@ -146,6 +146,8 @@
 HttpServer::HttpServer(std::shared_ptr<Shared> shared, std::uint16_t port)
     : shared_(std::move(shared)), port_(port) {}
 
+int HttpServer::PendingResponses() const { return shared_->pending_responses; }
+
 void HttpServer::Close() {
   shared_->closing = true;
   shared_->close_acceptor();
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -85,6 +85,10 @@
 
   std::uint16_t Port() const { return port_; }
 
+  // Requests whose response has not yet left for the client. A process that
+  // exits before this is 0 cuts responses off.
+  int PendingResponses() const;
+
  private:
   struct Shared;
   HttpServer(std::shared_ptr<Shared> shared, std::uint16_t port);
--- a/Source/Core/Transport/HttpSession.cpp
+++ b/Source/Core/Transport/HttpSession.cpp
@@ -148,6 +148,7 @@
   client_gone_ = nullptr;
   exchange_ = std::make_shared<HttpExchange>(std::move(request));
   exchange_->session_ = weak_from_this();
+  SetPending(true);
   WatchClient();
   shared_->handler(exchange_);
 }
@@ -254,7 +255,14 @@
                    });
 }
 
+void HttpSession::SetPending(bool pending) {
+  if (pending == pending_) return;
+  pending_ = pending;
+  shared_->pending_responses += pending ? 1 : -1;
+}
+
 void HttpSession::EndResponse() {
+  SetPending(false);
   exchange_ = nullptr;
   client_gone_ = nullptr;
   if (!keep_alive_) return Close();
@@ -267,6 +275,7 @@
 void HttpSession::Close() {
   if (closed_) return;
   closed_ = true;
+  SetPending(false);
   stream_.close();
   const auto gone = std::exchange(client_gone_, nullptr);
   const bool unanswered = exchange_ != nullptr && !response_ended_;
--- a/Source/Core/Transport/HttpSession.h
+++ b/Source/Core/Transport/HttpSession.h
@@ -22,6 +22,7 @@
   HttpServerOptions options;
   Handler handler;
   std::atomic<int> connections = 0;
+  std::atomic<int> pending_responses = 0;
   std::atomic<bool> closing = false;
   std::function<void()> close_acceptor;
 };
@@ -62,6 +63,7 @@
   void Queue(std::string bytes, std::function<void()> flushed);
   void WriteNext();
   void EndResponse();
+  void SetPending(bool pending);
   void Close();
 
   boost::beast::tcp_stream stream_;
@@ -79,6 +81,7 @@
   bool response_ended_ = false;
   bool keep_alive_ = false;
   bool closed_ = false;
+  bool pending_ = false;  // counted in Shared::pending_responses
   std::uint32_t source_ = 0;
 };
 
--- a/Source/UnitTests/Core/Transport/HttpFixture.h
+++ b/Source/UnitTests/Core/Transport/HttpFixture.h
@@ -4,6 +4,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
--- a/Source/UnitTests/Core/Transport/HttpServerTest.cpp
+++ b/Source/UnitTests/Core/Transport/HttpServerTest.cpp
@@ -99,6 +99,30 @@
               std::future_status::ready);
 }
 
+// Guards against a process that ends while its last response is on its way.
+BOOST_AUTO_TEST_CASE(UnsentResponseIsPending) {
+  constexpr std::size_t kMoreThanSocketBuffers = 64U << 20U;
+  HttpFixture fixture([](const Exchange& exchange) {
+    exchange->Send({.status = 200,
+                    .headers = {},
+                    .body = std::string(kMoreThanSocketBuffers, 'x')});
+  });
+  auto socket = fixture.Connect();
+  WriteText(socket, kGet);
+  std::vector<char> start(1);
+  boost::asio::read(socket, boost::asio::buffer(start));
+  BOOST_CHECK_EQUAL(fixture.Server().PendingResponses(), 1);
+  std::vector<char> rest(kMoreThanSocketBuffers);
+  boost::asio::read(socket, boost::asio::buffer(rest));
+  // The count falls once the server has noted the end of its write.
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (fixture.Server().PendingResponses() > 0 &&
+         std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  BOOST_CHECK_EQUAL(fixture.Server().PendingResponses(), 0);
+}
+
 // Guards against an answer mixed from two attempts.
 BOOST_AUTO_TEST_CASE(OutputOfAnEarlierSourceIsDropped) {
   HttpFixture fixture([](const Exchange& exchange) {
