--- a/Source/TestTools/EngineStandIn/Main.cpp
+++ b/Source/TestTools/EngineStandIn/Main.cpp
@@ -1,23 +1,16 @@
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/program_options.hpp>
-#include <iostream>
+#include <memory>
 #include <string>
-#include <vector>
 
-#include "Common/StatusText.h"
 #include "EngineStandIn/Engine.h"
-#include "Runtime/CommandLine.h"
-#include "Transport/HttpServer.h"
+#include "StandIn/Serve.h"
 
 namespace {
 
 namespace po = boost::program_options;
 namespace engine = shallotbeam::engine_stand_in;
-namespace runtime = shallotbeam::runtime;
-namespace transport = shallotbeam::transport;
 
 po::options_description Options() {
   po::options_description options("Options of shallotbeam-engine-stand-in");
@@ -69,29 +62,14 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const po::options_description options = Options();
-  const auto values = runtime::ParseArguments(
-      options, std::vector<std::string>(argv + 1, argv + argc));
-  if (!values.ok() || values->count("help") != 0) {
-    std::cout << options;
-    return values.ok() ? runtime::kExitOk : runtime::kExitUsage;
-  }
-  const auto endpoint = runtime::EndpointOption(*values, "listen");
-  if (!endpoint.ok()) {
-    fmt::print(stderr, "{}\n",
-               shallotbeam::common::MessageOf(endpoint.status()));
-    return runtime::kExitUsage;
-  }
-  // One thread, so that the engine needs no locks.
-  boost::asio::io_context context(1);
-  engine::Engine engine(context, ReadOptions(*values));
-  const auto server = transport::HttpServer::Listen(
-      context, {.endpoint = *endpoint},
-      [&](const engine::Exchange& exchange) { engine.Handle(exchange); });
-  if (!server.ok()) {
-    fmt::print(stderr, "{}\n", shallotbeam::common::MessageOf(server.status()));
-    return runtime::kExitFailure;
-  }
-  context.run();
-  return runtime::kExitOk;
+  return shallotbeam::testtools::ServeStandIn(
+      argc, argv, Options(),
+      [](boost::asio::io_context& context, const po::variables_map& values)
+          -> shallotbeam::transport::HttpServer::Handler {
+        const auto model =
+            std::make_shared<engine::Engine>(context, ReadOptions(values));
+        return [model](const engine::Exchange& exchange) {
+          model->Handle(exchange);
+        };
+      });
 }
