Let one router pass the rows of an agent on at once

Cause: every router sent every changed share row to every agent, so that an agent received each row as many times as it has routers.

--- a/Source/Core/Admission/Agent.cpp
+++ b/Source/Core/Admission/Agent.cpp
@@ -47,6 +47,7 @@
   state.limit.options = options.limit;
   state.keys.options = options.keys;
   state.suspects.options = options.suspects;
+  state.relay.options = options.relay;
   state.error_backoff = options.first_error_backoff;
   // Grants of an earlier incarnation must not be taken for grants of this one.
   state.next_grant = (common::ToNumber(options.incarnation) << 32U) + 1;
--- a/Source/Core/Admission/Agent.h
+++ b/Source/Core/Admission/Agent.h
@@ -17,6 +17,7 @@
 #include "Common/Types.h"
 #include "Config/Model.h"
 #include "Fairness/ShareLedger.h"
+#include "Fairness/ShareRelay.h"
 #include "Suspects/SuspectList.h"
 
 // The decisions of an agent: a deterministic state machine without I/O.
@@ -37,9 +38,7 @@
   suspects::SuspectOptions suspects;
   common::Duration heartbeat_interval = std::chrono::milliseconds(250);
   common::Duration shares_interval = std::chrono::milliseconds(200);
-  // Rows of other agents are passed on this rarely: routers hear them from
-  // their writers, except routers that are cut off from one.
-  common::Duration relay_interval = std::chrono::seconds(5);
+  fairness::RelayOptions relay;
   common::Duration grant_timeout = std::chrono::milliseconds(500);
   common::Duration router_timeout = std::chrono::seconds(1);
   common::Duration probe_interval = std::chrono::milliseconds(500);
@@ -173,11 +172,7 @@
   common::TimePoint probed;
   common::TimePoint heartbeat_sent;
   common::TimePoint shares_sent;
-  // Latest rows of other agents that are yet to be passed on.
-  std::map<std::pair<fairness::ShareKey, common::Incarnation>,
-           protocol::ShareRow>
-      relayed;
-  common::TimePoint relayed_sent;
+  fairness::ShareRelay relay;
   bool draining = false;
   bool drain_reported = false;
   common::TimePoint drain_started;
--- a/Source/Core/Admission/Control.cpp
+++ b/Source/Core/Admission/Control.cpp
@@ -142,20 +142,11 @@
   AgentState& state = context.state;
   if (context.now - state.shares_sent < state.options.shares_interval) return;
   state.shares_sent = context.now;
-  const protocol::Shares changes = fairness::TakeChanges(state.ledger);
-  protocol::Shares shares{.lifts = changes.lifts};
-  for (const protocol::ShareRow& row : changes.rows) {
-    if (row.writer == state.options.incarnation) {
-      shares.rows.push_back(row);
-      continue;
-    }
-    state.relayed[{{row.pool, row.workspace}, row.writer}] = row;
-  }
-  if (context.now - state.relayed_sent >= state.options.relay_interval) {
-    state.relayed_sent = context.now;
-    for (const auto& [key, row] : state.relayed) shares.rows.push_back(row);
-    state.relayed.clear();
-  }
+  // Routers hear the rows of other agents from these.
+  const protocol::Shares shares = fairness::TakeSharesToSend(
+      state.ledger, state.relay, context.now, [&](common::Incarnation writer) {
+        return writer == state.options.incarnation;
+      });
   if (shares.rows.empty() && shares.lifts.empty()) return;
   SendToRouters(context, shares);
 }
--- a/Source/Core/Routing/Control.cpp
+++ b/Source/Core/Routing/Control.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Common/Hash.h"
 #include "Routing/Internal.h"
 
 namespace shallotbeam::routing::internal {
@@ -134,13 +135,27 @@
                                    .known_routers = KnownRouters(context)});
 }
 
+// Whether this router passes the rows of an agent on at once. By rendezvous
+// hashing one of the routers does, as agents hear all routers; if two routers
+// know different ones, an agent gets a row twice or with the relay interval.
+bool IsRelayOf(const RouterState& state, common::Incarnation writer) {
+  const auto score = [&](const common::ProcessName& router) {
+    return common::Hash64(router.value, common::ToNumber(writer));
+  };
+  const std::uint64_t own = score(state.options.name);
+  return std::none_of(state.known_routers.begin(), state.known_routers.end(),
+                      [&](const auto& it) { return score(it.first) > own; });
+}
+
 void SendShares(Context& context) {
   RouterState& state = context.state;
   if (context.now - state.shares_sent < state.options.shares_interval) return;
   state.shares_sent = context.now;
-  const protocol::Shares changes = fairness::TakeChanges(state.ledger);
-  if (changes.rows.empty() && changes.lifts.empty()) return;
-  SendToAgents(context, changes);
+  const protocol::Shares shares = fairness::TakeSharesToSend(
+      state.ledger, state.relay, context.now,
+      [&](common::Incarnation writer) { return IsRelayOf(state, writer); });
+  if (shares.rows.empty() && shares.lifts.empty()) return;
+  SendToAgents(context, shares);
 }
 
 std::vector<common::RequestId> RequestIds(const RouterState& state) {
--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -68,6 +68,7 @@
   state.agents.options = options.membership;
   state.agents.data_centre = options.data_centre;
   state.suspects.options = options.suspects;
+  state.relay.options = options.relay;
   return state;
 }
 
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -14,6 +14,7 @@
 #include "Common/Verdict.h"
 #include "Config/Model.h"
 #include "Fairness/ShareLedger.h"
+#include "Fairness/ShareRelay.h"
 #include "Routing/Actions.h"
 #include "Routing/AgentTable.h"
 #include "Routing/Events.h"
@@ -36,6 +37,7 @@
   RetryOptions retries;
   common::Duration heartbeat_interval = std::chrono::milliseconds(250);
   common::Duration shares_interval = std::chrono::milliseconds(200);
+  fairness::RelayOptions relay;
   // Demand is sent on change, this far apart at least and at most.
   common::Duration demand_interval = std::chrono::milliseconds(20);
   common::Duration demand_refresh = std::chrono::seconds(1);
@@ -128,6 +130,7 @@
   std::map<common::PoolName, PoolState> pools;
   AgentTable agents;
   fairness::ShareLedger ledger;
+  fairness::ShareRelay relay;
   suspects::SuspectList suspects;
   std::map<common::PoolName, RetryBudget> retry_budgets;
   TokenBucket confirmations;
--- a/Source/UnitTests/Core/Admission/ShareExchangeTest.cpp
+++ b/Source/UnitTests/Core/Admission/ShareExchangeTest.cpp
@@ -32,14 +32,14 @@
 // grow with the square of the number of agents.
 BOOST_AUTO_TEST_CASE(RowsOfOtherAgentsAreRelayedRarely) {
   Harness agent(Pool(4));
-  agent.Advance(agent.state.options.relay_interval + seconds(1));
+  agent.Advance(agent.state.options.relay.interval + seconds(1));
   agent.actions.clear();
   for (int i = 1; i <= 10; ++i) {
     agent.Message(kRouter, kRouterRun, protocol::Shares{{RowOf(kOther, i)}});
     agent.Advance(milliseconds(200));
   }
   BOOST_CHECK_EQUAL(CountRowsOf(agent, kOther), 0);
-  agent.Advance(agent.state.options.relay_interval);
+  agent.Advance(agent.state.options.relay.interval);
   BOOST_CHECK_EQUAL(CountRowsOf(agent, kOther), 1);
 }
 
