Lift returning workspaces to a system virtual time

Cause: a workspace whose backlog began was lifted only if another one was backlogged at that moment, and only after 500 ms without demand. Service received while nobody else waited was held against its receiver, and the credit of short pauses was kept.

Change: each agent keeps the start tag of the request last taken into service. Every return, and every direct dispatch, starts at that level or at the smallest virtual time of the backlogged workspaces.

Admission, Faults and Scenarios pass.

--- a/Source/Core/Admission/Agent.h
+++ b/Source/Core/Admission/Agent.h
@@ -40,8 +40,12 @@
   common::Duration grant_timeout = std::chrono::milliseconds(500);
   common::Duration router_timeout = std::chrono::seconds(1);
   common::Duration probe_interval = std::chrono::milliseconds(500);
-  // A workspace without demand for this long starts level on its return.
-  common::Duration idle_after = std::chrono::milliseconds(500);
+  // A workspace without demand for this long starts level on its return. With
+  // 500 ms, the credit of shorter pauses exceeded the bound on the gap.
+  common::Duration idle_after{};
+  // A workspace that had demand within this time counts as backlogged for the
+  // debt cap and for the level of those that return.
+  common::Duration debt_window = std::chrono::milliseconds(500);
   common::Duration debt_cap = std::chrono::seconds(2);
   // Time until the charges of one agent are known to all others.
   common::Duration exchange_lag = std::chrono::milliseconds(500);
@@ -142,6 +146,8 @@
   KeyTable keys;
   suspects::SuspectList suspects;
   fairness::ShareLedger ledger;
+  // No workspace whose backlog begins starts below this virtual time.
+  double system_time = 0;
   ShareRate rate;
   std::map<common::WorkspaceName, RecentCharge> recent_charges;
   // Other agents that give service in this pool, by the last sign of it.
--- a/Source/Core/Admission/Backlog.cpp
+++ b/Source/Core/Admission/Backlog.cpp
@@ -8,7 +8,7 @@
   AgentState& state = context.state;
   const auto it = state.backlog.find(name);
   if (it != state.backlog.end()) return it->second;
-  NoteBacklogBegins(context, name);
+  StartLevel(context, name);
   WorkspaceBacklog& backlog = state.backlog[name];
   backlog.key = {state.options.pool, name};
   return backlog;
--- a/Source/Core/Admission/Internal.h
+++ b/Source/Core/Admission/Internal.h
@@ -56,8 +56,12 @@
 void NoteCost(AgentState& state, const Attempt& attempt, common::Cost cost);
 void Charge(Context& context, const common::WorkspaceName& workspace,
             common::Cost cost);
-// Ends idleness of a workspace whose backlog begins.
-void NoteBacklogBegins(Context& context, const common::WorkspaceName& name);
+// The system virtual time of the pool only grows. It is the start tag of the
+// request last taken into service, as in start-time fair queueing.
+void RaiseSystemTime(AgentState& state, double level);
+// Lifts a workspace that was idle to the system virtual time, so that it keeps
+// no credit from a pause and uncontended service is not held against others.
+void StartLevel(Context& context, const common::WorkspaceName& name);
 void MeasureShareRate(Context& context);
 void OnShares(Context& context, const protocol::Shares& shares);
 // Virtual time that the other agents have probably added to a workspace since
--- a/Source/Core/Admission/Offers.cpp
+++ b/Source/Core/Admission/Offers.cpp
@@ -157,6 +157,10 @@
     return Start(context, std::move(attempt), "granted");
   }
   if (!granted && FreeSlots(state) > 0 && !HasDemand(state)) {
+    StartLevel(context, attempt.workspace);
+    RaiseSystemTime(
+        state, fairness::VirtualTime(state.ledger,
+                                     {state.options.pool, attempt.workspace}));
     return Start(context, std::move(attempt), "free_slot");
   }
   const int bound =
--- a/Source/Core/Admission/Shares.cpp
+++ b/Source/Core/Admission/Shares.cpp
@@ -31,7 +31,7 @@
     keys.push_back(backlog.key);
   }
   for (const auto& [workspace, last] : state.last_demand) {
-    if (now - last >= state.options.idle_after) continue;
+    if (now - last >= state.options.debt_window) continue;
     if (state.backlog.contains(workspace)) continue;
     keys.emplace_back(state.options.pool, workspace);
   }
@@ -132,7 +132,11 @@
             .at = context.now};
 }
 
-void NoteBacklogBegins(Context& context, const common::WorkspaceName& name) {
+void RaiseSystemTime(AgentState& state, double level) {
+  state.system_time = std::max(state.system_time, level);
+}
+
+void StartLevel(Context& context, const common::WorkspaceName& name) {
   AgentState& state = context.state;
   const auto last = state.last_demand.find(name);
   const bool was_idle = last == state.last_demand.end() ||
@@ -142,8 +146,9 @@
   for (const ShareKey& key : Backlogged(state, context.now)) {
     level = std::min(level, fairness::VirtualTime(state.ledger, key));
   }
-  if (level == std::numeric_limits<double>::infinity()) return;
-  fairness::LiftTo(state.ledger, {state.options.pool, name}, level);
+  if (level == std::numeric_limits<double>::infinity()) level = 0;
+  fairness::LiftTo(state.ledger, {state.options.pool, name},
+                   std::max(level, state.system_time));
 }
 
 double ShareOver(const AgentState& state, common::Duration period) {
--- a/Source/Core/Admission/Slots.cpp
+++ b/Source/Core/Admission/Slots.cpp
@@ -37,14 +37,16 @@
 
 // The workspace with the smallest virtual time among those that wait. Urgent
 // demand goes ahead by the boost.
-const WorkspaceBacklog* ChooseWorkspace(const AgentState& state,
+const WorkspaceBacklog* ChooseWorkspace(AgentState& state,
                                         common::TimePoint now) {
   const double boost = ShareOver(state, state.options.urgency_boost);
   const WorkspaceBacklog* best = nullptr;
+  double level = std::numeric_limits<double>::infinity();
   double best_time = std::numeric_limits<double>::infinity();
   bool best_waits = false;
   for (const auto& [workspace, backlog] : state.backlog) {
     double time = fairness::VirtualTime(state.ledger, backlog.key);
+    level = std::min(level, time);
     time += ExpectedOfOthers(state, backlog, now);
     if (backlog.urgent > 0) time -= boost;
     const bool waits = MustWaitForCost(state, backlog);
@@ -55,6 +57,9 @@
     best_waits = waits;
     best = &backlog;
   }
+  // The smallest time and not that of the chosen workspace, which may be ahead
+  // for its urgency or because the cost of others is unknown.
+  RaiseSystemTime(state, level);
   return best;
 }
 
