Charge the spread of request sizes at dispatch

Cause: a trace of one agent with three slots showed a workspace with requests of 18 or 239 tokens in all three slots after a few small ones had lowered its mean to 94. The gap came from the tokens not yet charged.

Change: a request is charged the mean plus one standard deviation at dispatch; the unused part is refunded as before.

--- a/Source/Core/Admission/Agent.h
+++ b/Source/Core/Admission/Agent.h
@@ -130,6 +130,7 @@
 
 struct MeanCost {
   common::Cost cost = 0;
+  double square = 0;  // mean of the squared costs
   int count = 0;
 };
 
--- a/Source/Core/Admission/Shares.cpp
+++ b/Source/Core/Admission/Shares.cpp
@@ -84,12 +84,23 @@
   return charge.cost * std::exp(-age / lag);
 }
 
+// What a request is charged before its cost is known: the mean and one standard
+// deviation. With the mean alone, a workspace whose requests vary was given all
+// slots for large ones after a few small ones; two deviations did worse when a
+// workspace returned.
+common::Cost Reserve(const MeanCost& mean) {
+  if (mean.cost <= 0) return 0;
+  const double variance = mean.square - mean.cost * mean.cost;
+  return mean.cost + std::sqrt(std::max(0.0, variance));
+}
+
 void Blend(AgentState& state, const common::WorkspaceName& workspace,
            const common::KindName& kind, common::Cost cost) {
   MeanCost& mean = state.estimates[{workspace, kind}];
   ++mean.count;
-  mean.cost +=
-      std::max(kEstimateSmoothing, 1.0 / mean.count) * (cost - mean.cost);
+  const double part = std::max(kEstimateSmoothing, 1.0 / mean.count);
+  mean.cost += part * (cost - mean.cost);
+  mean.square += part * (cost * cost - mean.square);
 }
 
 }  // namespace
@@ -110,7 +121,7 @@
   }
   // A workspace not seen before is taken for an average one.
   if (it == state.estimates.end()) it = state.estimates.find({{}, {}});
-  return it == state.estimates.end() ? 1 : std::max(1.0, it->second.cost);
+  return it == state.estimates.end() ? 1 : std::max(1.0, Reserve(it->second));
 }
 
 void NoteCost(AgentState& state, const Attempt& attempt, common::Cost cost) {
