Send lifts only when they changed

Cause: each changed row sent the lift of its workspace along, 30 bytes that were the same as before. Change: the ledger notes rows and lifts that changed apart.

--- a/Source/Core/Fairness/ShareLedger.cpp
+++ b/Source/Core/Fairness/ShareLedger.cpp
@@ -9,7 +9,7 @@
 
 void NoteChange(ShareLedger& ledger, const ShareKey& key,
                 common::Incarnation writer) {
-  std::vector<common::Incarnation>& writers = ledger.changed[key];
+  std::vector<common::Incarnation>& writers = ledger.changed_rows[key];
   if (std::find(writers.begin(), writers.end(), writer) == writers.end()) {
     writers.push_back(writer);
   }
@@ -41,8 +41,7 @@
   WorkspaceShare& share = ledger.shares[key];
   if (lift <= share.lift) return;
   share.lift = lift;
-  // An empty entry marks a changed lift.
-  ledger.changed[key];
+  ledger.changed_lifts.insert(key);
 }
 
 }  // namespace
@@ -94,15 +93,19 @@
 
 protocol::Shares TakeChanges(ShareLedger& ledger) {
   protocol::Shares changes;
-  for (const auto& [key, writers] : ledger.changed) {
+  for (const auto& [key, writers] : ledger.changed_rows) {
     const WorkspaceShare& share = ledger.shares[key];
     for (const common::Incarnation writer : writers) {
       changes.rows.push_back(ToRow(key, writer, share.rows.at(writer)));
     }
-    changes.lifts.push_back(
-        {.pool = key.first, .workspace = key.second, .lift = share.lift});
   }
-  ledger.changed.clear();
+  for (const ShareKey& key : ledger.changed_lifts) {
+    changes.lifts.push_back({.pool = key.first,
+                             .workspace = key.second,
+                             .lift = ledger.shares[key].lift});
+  }
+  ledger.changed_rows.clear();
+  ledger.changed_lifts.clear();
   return changes;
 }
 
--- a/Source/Core/Fairness/ShareLedger.h
+++ b/Source/Core/Fairness/ShareLedger.h
@@ -2,6 +2,7 @@
 #define SHALLOTBEAM_CORE_FAIRNESS_SHARELEDGER_H_
 
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -31,8 +32,9 @@
 // same result, because each row has one writer and only grows.
 struct ShareLedger {
   std::map<ShareKey, WorkspaceShare> shares;
-  // Keys whose rows or lifts changed since the last TakeChanges().
-  std::map<ShareKey, std::vector<common::Incarnation>> changed;
+  // Rows and lifts that changed since the last TakeChanges().
+  std::map<ShareKey, std::vector<common::Incarnation>> changed_rows;
+  std::set<ShareKey> changed_lifts;
 };
 
 // Sets a weight; `weight` must be above 0.
