Send all copies of a suspect to one agent

Cause: suspects were isolated per agent only. Two copies that entered through two routers ran at two upstreams at once, and a third crash followed.

Change: routers choose the agent of a suspect by rendezvous hashing of its fingerprint over the serving agents of the pool, past the agents whose upstreams it crashed (new field of the suspect rows). A suspect may wait there for a slot. An agent sends back a suspect whose router did not know of the crash, and counts copies that began before the crash as suspects. A clearing is reported to peers, because suspects no longer spread over all agents. The test of the isolation in ChooseFree is replaced by tests of the new choice.

--- a/Source/Core/Admission/Agent.h
+++ b/Source/Core/Admission/Agent.h
@@ -61,8 +61,9 @@
   common::WorkspaceName workspace;
   common::KindName kind;
   common::Fingerprint fingerprint = common::Fingerprint::kNone;
-  bool suspect = false;
-  std::string key;  // with the workspace; empty if idempotent
+  bool suspect = false;  // by the router's word
+  bool movable = true;   // the router may choose another agent
+  std::string key;       // with the workspace; empty if idempotent
   bool granted = false;
   bool urgent = false;  // set while it waits
   common::TimePoint deadline;
--- a/Source/Core/Admission/Offers.cpp
+++ b/Source/Core/Admission/Offers.cpp
@@ -24,9 +24,8 @@
   attempt.workspace = event.workspace;
   attempt.kind = event.kind;
   attempt.fingerprint = event.fingerprint;
-  attempt.suspect =
-      event.suspect || suspects::IsSuspect(context.state.suspects,
-                                           event.fingerprint, context.now);
+  attempt.suspect = event.suspect;
+  attempt.movable = event.key.empty() || event.binding_revision > 0;
   if (!event.key.empty()) attempt.key = ScopedKey(event.workspace, event.key);
   attempt.deadline = context.now + event.time_left;
   return attempt;
@@ -128,12 +127,18 @@
     return Reason::kPoisonous;
   }
   if (!state.upstream_up) return Reason::kBusy;
-  if (attempt.suspect) {
-    const bool other_suspect =
-        std::any_of(state.running.begin(), state.running.end(),
-                    [](const auto& it) { return it.second.suspect; });
-    if (other_suspect) return Reason::kSuspectIsolated;
-  }
+  const auto is_suspect = [&](const Attempt& it) {
+    return it.suspect ||
+           suspects::IsSuspect(state.suspects, it.fingerprint, context.now);
+  };
+  if (!is_suspect(attempt)) return std::nullopt;
+  // The router did not know, or it would have chosen the agent that runs all
+  // copies of the suspect.
+  if (!attempt.suspect && attempt.movable) return Reason::kSuspectIsolated;
+  const bool other_suspect =
+      std::any_of(state.running.begin(), state.running.end(),
+                  [&](const auto& it) { return is_suspect(it.second); });
+  if (other_suspect) return Reason::kSuspectIsolated;
   return std::nullopt;
 }
 
@@ -161,7 +166,10 @@
   }
   const int bound =
       static_cast<int>(state.waiting.size()) - state.waiting_granted;
-  const bool may_wait = granted || (keyed && bound < state.options.max_waiting);
+  // All routers send a suspect here, so that no other agent could take it.
+  const bool only_here = keyed || attempt.suspect;
+  const bool may_wait =
+      granted || (only_here && bound < state.options.max_waiting);
   if (!may_wait) return RejectNotRun(context, attempt, Reason::kBusy);
   AddWaiting(context, std::move(attempt));
 }
--- a/Source/Core/Admission/Slots.cpp
+++ b/Source/Core/Admission/Slots.cpp
@@ -82,9 +82,6 @@
 void StartWaiting(Context& context, WaitingIterator it,
                   std::string_view cause) {
   Attempt attempt = TakeWaiting(context, it);
-  attempt.suspect =
-      attempt.suspect || suspects::IsSuspect(context.state.suspects,
-                                             attempt.fingerprint, context.now);
   if (const auto reason = CheckOffer(context, attempt)) {
     return RejectNotRun(context, attempt, *reason);
   }
--- a/Source/Core/Admission/Upstreams.cpp
+++ b/Source/Core/Admission/Upstreams.cpp
@@ -47,8 +47,8 @@
   for (const auto& [id, attempt] : state.running) {
     in_flight.push_back(attempt.fingerprint);
   }
-  SendToRouters(context,
-                suspects::NoteCrash(state.suspects, in_flight, context.now));
+  SendToRouters(context, suspects::NoteCrash(state.suspects, in_flight,
+                                             context.now, state.options.name));
   // Routers can place these elsewhere.
   ReturnWaiting(context, Reason::kUpstreamFailed);
   DropGrants(context, {});
@@ -99,7 +99,9 @@
                  const UpstreamEnded& event, int running) {
   AgentState& state = context.state;
   state.error_backoff = state.options.first_error_backoff;
-  suspects::NoteCompleted(state.suspects, attempt.fingerprint, context.now);
+  const protocol::Suspects cleared =
+      suspects::NoteCompleted(state.suspects, attempt.fingerprint, context.now);
+  if (!cleared.rows.empty()) SendToRouters(context, cleared);
   NoteCost(state, attempt, attempt.charged);
   Measure(state, attempt, event, running, context.now);
   if (attempt.key.empty()) return;
--- a/Source/Core/Protocol/Messages.h
+++ b/Source/Core/Protocol/Messages.h
@@ -107,10 +107,13 @@
 
 struct SuspectRow {
   common::Fingerprint fingerprint = common::Fingerprint::kNone;
-  int crashes = 0;
+  int crashes = 0;  // without a ban: 0 clears the suspect
   // Time left of a ban; zero while the fingerprint is only a suspect.
   std::chrono::milliseconds ban_left{0};
-  std::chrono::milliseconds age{0};  // since the last crash
+  // Since the last crash; without crashes, since the clearing.
+  std::chrono::milliseconds age{0};
+  // Agents whose upstreams crashed with it in flight.
+  std::vector<common::ProcessName> crashed_at;
 };
 
 struct Suspects {
--- a/Source/Core/Routing/AgentTable.cpp
+++ b/Source/Core/Routing/AgentTable.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Common/Hash.h"
+
 namespace shallotbeam::routing {
 
 namespace {
@@ -85,7 +87,6 @@
 const common::ProcessName* ChooseFrom(AgentTable& table,
                                       const common::PoolName& pool,
                                       PoolAgents::FreeList PoolAgents::*list,
-                                      const Isolation& isolation,
                                       common::TimePoint now) {
   const auto members = table.pools.find(pool);
   if (members == table.pools.end()) return nullptr;
@@ -98,10 +99,7 @@
              [](Agent& silent) { silent.silent = true; });
       continue;
     }
-    const bool refused =
-        isolation.suspect && (agent->second.suspects_in_flight > 0 ||
-                              agent->first == isolation.avoid);
-    if (!refused) return &agent->first;
+    return &agent->first;
   }
   return nullptr;
 }
@@ -158,12 +156,29 @@
 
 const common::ProcessName* ChooseFree(AgentTable& table,
                                       const common::PoolName& pool,
-                                      const Isolation& isolation,
                                       common::TimePoint now) {
   const common::ProcessName* here =
-      ChooseFrom(table, pool, &PoolAgents::free_here, isolation, now);
+      ChooseFrom(table, pool, &PoolAgents::free_here, now);
   if (here != nullptr) return here;
-  return ChooseFrom(table, pool, &PoolAgents::free, isolation, now);
+  return ChooseFrom(table, pool, &PoolAgents::free, now);
+}
+
+const common::ProcessName* ChooseForSuspect(
+    const AgentTable& table, const common::PoolName& pool,
+    common::Fingerprint fingerprint,
+    const std::set<common::ProcessName>& crashed_at, common::TimePoint now) {
+  const auto seed = static_cast<std::uint64_t>(fingerprint);
+  const common::ProcessName* best = nullptr;
+  std::pair<bool, std::uint64_t> best_rank;
+  for (const auto& [name, agent] : table.agents) {
+    if (agent.pool != pool || !IsEligible(table, agent, now)) continue;
+    const std::pair rank(!crashed_at.contains(name),
+                         common::Hash64(name.value, seed));
+    if (best != nullptr && rank <= best_rank) continue;
+    best = &name;
+    best_rank = rank;
+  }
+  return best;
 }
 
 const common::ProcessName* ChooseForTicket(const AgentTable& table,
--- a/Source/Core/Routing/AgentTable.h
+++ b/Source/Core/Routing/AgentTable.h
@@ -74,12 +74,6 @@
   std::set<common::ProcessName> leaving;
 };
 
-// A suspect runs with no other suspect at its agent.
-struct Isolation {
-  bool suspect = false;
-  common::ProcessName avoid;  // the agent that refused it last
-};
-
 // What changed by a heartbeat.
 struct HeartbeatEffect {
   bool ignored = false;  // from a replaced incarnation
@@ -103,13 +97,19 @@
                common::Incarnation incarnation);
 
 // The eligible agent with the most free slots, or nullptr. Agents in the
-// router's own data centre are preferred. A suspect goes only to an agent to
-// which this router has not sent another one.
+// router's own data centre are preferred.
 const common::ProcessName* ChooseFree(AgentTable& table,
                                       const common::PoolName& pool,
-                                      const Isolation& isolation,
                                       common::TimePoint now);
 
+// The eligible agent that runs all copies of a suspect, or nullptr. Routers
+// that know of the same agents choose the same one, by rendezvous hashing.
+// Agents of `crashed_at` are chosen only if there are no others.
+const common::ProcessName* ChooseForSuspect(
+    const AgentTable& table, const common::PoolName& pool,
+    common::Fingerprint fingerprint,
+    const std::set<common::ProcessName>& crashed_at, common::TimePoint now);
+
 // An eligible agent to bind a ticket to; random, as the ticket may be used
 // later. Returns nullptr if there is none.
 const common::ProcessName* ChooseForTicket(const AgentTable& table,
--- a/Source/Core/Routing/Dispatching.cpp
+++ b/Source/Core/Routing/Dispatching.cpp
@@ -20,6 +20,12 @@
           .bytes = request.bytes};
 }
 
+bool IsSuspect(const Context& context, const Request& request) {
+  return request.isolate ||
+         suspects::IsSuspect(context.state.suspects, request.fingerprint,
+                             context.now);
+}
+
 void SendDispatch(Context& context, Request& request,
                   const common::ProcessName& name, std::string_view cause) {
   RouterState& state = context.state;
@@ -27,8 +33,7 @@
   ++request.attempt;
   request.agent = name;
   request.phase = Phase::kDispatched;
-  request.suspect =
-      suspects::IsSuspect(state.suspects, request.fingerprint, context.now);
+  request.suspect = IsSuspect(context, request);
   // Before the slot is taken, or the chosen agent may count as busy.
   Log(context, request, "dispatch", cause);
   NoteDispatched(state.agents, name, request.id, request.suspect);
@@ -107,15 +112,31 @@
 const common::ProcessName* FindFree(Context& context, const Request& request) {
   RouterState& state = context.state;
   if (PoolOf(context, request).queue.waiting > 0) return nullptr;
-  const Isolation isolation{
-      .suspect =
-          suspects::IsSuspect(state.suspects, request.fingerprint, context.now),
-      .avoid = request.avoid};
-  return ChooseFree(state.agents, request.pool, isolation, context.now);
+  return ChooseFree(state.agents, request.pool, context.now);
 }
 
-// Ends or delays a queued request that may not go to `agent` now.
-bool HoldBack(Context& context, Request& request, const Agent& agent) {
+const common::ProcessName* FindForSuspect(const Context& context,
+                                          const Request& request) {
+  const RouterState& state = context.state;
+  return ChooseForSuspect(
+      state.agents, request.pool, request.fingerprint,
+      suspects::CrashedAt(state.suspects, request.fingerprint), context.now);
+}
+
+// Sends a suspect to the agent that runs all its copies, where it may wait for
+// a slot. One that this router can't send yet is held back, because it would
+// only be refused there.
+void PlaceSuspect(Context& context, Request& request,
+                  const common::ProcessName& agent) {
+  if (context.state.agents.agents.at(agent).suspects_in_flight > 0) {
+    return Delay(context, request);
+  }
+  DispatchTo(context, request, agent, common::GrantId::kNone);
+}
+
+// Ends, delays or sends elsewhere a queued request that may not go to `agent`.
+bool HoldBack(Context& context, Request& request,
+              const common::ProcessName& agent) {
   RouterState& state = context.state;
   if (context.now >= request.deadline) {
     Abandon(context, request, Reason::kDeadlineExceeded);
@@ -129,11 +150,16 @@
             .reason = Reason::kPoisonous});
     return true;
   }
-  const bool isolated =
-      agent.suspects_in_flight > 0 &&
-      suspects::IsSuspect(state.suspects, fingerprint, context.now);
-  if (isolated) Delay(context, request);
-  return isolated;
+  if (!IsSuspect(context, request)) return false;
+  const common::ProcessName* chosen = FindForSuspect(context, request);
+  if (chosen == nullptr) {
+    Delay(context, request);
+    return true;
+  }
+  const bool here =
+      *chosen == agent && state.agents.agents.at(agent).suspects_in_flight == 0;
+  if (!here) PlaceSuspect(context, request, *chosen);
+  return !here;
 }
 
 }  // namespace
@@ -161,6 +187,11 @@
 }
 
 void Place(Context& context, Request& request) {
+  if (IsSuspect(context, request)) {
+    if (const common::ProcessName* agent = FindForSuspect(context, request)) {
+      return PlaceSuspect(context, request, *agent);
+    }
+  }
   if (const common::ProcessName* free = FindFree(context, request)) {
     return DispatchTo(context, request, *free, common::GrantId::kNone);
   }
@@ -190,6 +221,11 @@
 void Resume(Context& context, Request& request) {
   Arm(context, request, request.deadline);
   if (request.owner) return DispatchToOwner(context, request);
+  if (IsSuspect(context, request)) {
+    const common::ProcessName* agent = FindForSuspect(context, request);
+    if (agent == nullptr) return Enqueue(context, request);
+    return PlaceSuspect(context, request, *agent);
+  }
   const common::ProcessName* free = FindFree(context, request);
   if (free == nullptr) return Enqueue(context, request);
   DispatchTo(context, request, *free, common::GrantId::kNone);
@@ -304,7 +340,7 @@
     pool->second.demand_changed = true;
     if (!next) break;
     Request& request = state.requests.at(next->id);
-    if (HoldBack(context, request, known->second)) continue;
+    if (HoldBack(context, request, agent)) continue;
     return DispatchTo(context, request, agent, grant.grant);
   }
   context.Do(SendMessage{.to = agent,
--- a/Source/Core/Routing/Outcomes.cpp
+++ b/Source/Core/Routing/Outcomes.cpp
@@ -65,10 +65,10 @@
 void PlaceAgain(Context& context, Request& request, Reason reason) {
   request.owner.reset();
   Log(context, request, "requeue", common::ToString(reason));
-  if (reason != Reason::kSuspectIsolated) return Enqueue(context, request);
-  // The agent has a free slot and would grant it again at once.
-  request.avoid = request.agent;
-  Delay(context, request);
+  request.isolate = request.isolate || reason == Reason::kSuspectIsolated;
+  // Only one agent takes a suspect, and has no room for it now.
+  if (request.isolate || request.suspect) return Delay(context, request);
+  Enqueue(context, request);
 }
 
 void Truncate(Context& context, const Request& request,
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -91,7 +91,7 @@
   common::ProcessName agent;  // of the current attempt
   common::GrantId grant = common::GrantId::kNone;
   bool suspect = false;           // the current attempt runs isolated
-  common::ProcessName avoid;      // refused it as a suspect
+  bool isolate = false;           // an agent knows it as a suspect
   common::Duration last_pause{};  // in kDelayed
 
   // Only for non-idempotent requests.
--- a/Source/Core/Suspects/SuspectList.cpp
+++ b/Source/Core/Suspects/SuspectList.cpp
@@ -17,7 +17,17 @@
   return {.fingerprint = fingerprint,
           .crashes = suspect.crashes,
           .ban_left = duration_cast<milliseconds>(ban_left),
-          .age = duration_cast<milliseconds>(now - suspect.last_crash)};
+          .age = duration_cast<milliseconds>(now - suspect.last_crash),
+          .crashed_at = {suspect.crashed_at.begin(), suspect.crashed_at.end()}};
+}
+
+// Returns true if the suspect was cleared by that.
+bool Clear(Suspect& suspect, common::TimePoint at) {
+  if (suspect.crashes == 0 || suspect.last_crash >= at) return false;
+  suspect.crashes = 0;
+  suspect.crashed_at.clear();
+  suspect.cleared = at;
+  return true;
 }
 
 }  // namespace
@@ -37,7 +47,8 @@
 
 protocol::Suspects NoteCrash(SuspectList& list,
                              const std::vector<common::Fingerprint>& in_flight,
-                             common::TimePoint now) {
+                             common::TimePoint now,
+                             const common::ProcessName& agent) {
   // Two sends of one request are one suspect.
   const std::set<common::Fingerprint> distinct(in_flight.begin(),
                                                in_flight.end());
@@ -48,8 +59,12 @@
   for (const common::Fingerprint fingerprint : distinct) {
     const bool was_suspect = IsSuspect(list, fingerprint, now);
     Suspect& suspect = list.suspects[fingerprint];
-    if (!was_suspect) suspect.crashes = 0;
+    if (!was_suspect) {
+      suspect.crashes = 0;
+      suspect.crashed_at.clear();
+    }
     ++suspect.crashes;
+    if (!agent.empty()) suspect.crashed_at.insert(agent);
     suspect.last_crash = now;
     if (was_suspect && known == 1) {
       suspect.banned_until = now + list.options.poison_ban;
@@ -59,18 +74,31 @@
   return news;
 }
 
-void NoteCompleted(SuspectList& list, common::Fingerprint fingerprint,
-                   common::TimePoint now) {
+protocol::Suspects NoteCompleted(SuspectList& list,
+                                 common::Fingerprint fingerprint,
+                                 common::TimePoint now) {
   const auto it = list.suspects.find(fingerprint);
-  if (it == list.suspects.end()) return;
-  it->second.crashes = 0;
-  it->second.cleared = now;
+  if (it == list.suspects.end() || !Clear(it->second, now)) return {};
+  return {.rows = {{.fingerprint = fingerprint}}};
+}
+
+const std::set<common::ProcessName>& CrashedAt(
+    const SuspectList& list, common::Fingerprint fingerprint) {
+  static const std::set<common::ProcessName> kNone;
+  const auto it = list.suspects.find(fingerprint);
+  return it == list.suspects.end() ? kNone : it->second.crashed_at;
 }
 
 bool Merge(SuspectList& list, const protocol::Suspects& suspects,
            common::TimePoint now) {
   bool news = false;
   for (const protocol::SuspectRow& row : suspects.rows) {
+    if (row.crashes == 0 && row.ban_left.count() == 0) {
+      const auto it = list.suspects.find(row.fingerprint);
+      const bool known = it != list.suspects.end();
+      news = (known && Clear(it->second, now - row.age)) || news;
+      continue;
+    }
     Suspect& suspect = list.suspects[row.fingerprint];
     const common::TimePoint last_crash = now - row.age;
     const common::TimePoint banned_until =
@@ -83,7 +111,11 @@
     if (row.crashes > 0 && !stale) {
       const bool was_suspect = IsSuspect(list, row.fingerprint, now);
       news = news || !was_suspect || row.crashes > suspect.crashes;
+      if (!was_suspect) suspect.crashed_at.clear();
       suspect.crashes = std::max(suspect.crashes, row.crashes);
+      const std::size_t sites = suspect.crashed_at.size();
+      suspect.crashed_at.insert(row.crashed_at.begin(), row.crashed_at.end());
+      news = news || suspect.crashed_at.size() > sites;
       suspect.last_crash = std::max(suspect.last_crash, last_crash);
     }
     if (banned_until > suspect.banned_until + kSlack) {
--- a/Source/Core/Suspects/SuspectList.h
+++ b/Source/Core/Suspects/SuspectList.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTBEAM_CORE_SUSPECTS_SUSPECTLIST_H_
 #define SHALLOTBEAM_CORE_SUSPECTS_SUSPECTLIST_H_
 
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -23,6 +24,8 @@
   common::TimePoint last_crash;
   common::TimePoint banned_until;
   common::TimePoint cleared;  // reports of earlier crashes are ignored
+  // Agents whose upstreams crashed with it since it was last cleared.
+  std::set<common::ProcessName> crashed_at;
 };
 
 struct SuspectList {
@@ -35,15 +38,23 @@
 bool IsBanned(const SuspectList& list, common::Fingerprint fingerprint,
               common::TimePoint now);
 
-// Records a crash with `in_flight` requests. If exactly one of them was a
-// suspect already, that one is banned. Returns the rows to tell peers.
+// Records a crash of the upstream of `agent` with `in_flight` requests. If
+// exactly one of them was a suspect already, that one is banned. Returns the
+// rows to tell peers.
 protocol::Suspects NoteCrash(SuspectList& list,
                              const std::vector<common::Fingerprint>& in_flight,
-                             common::TimePoint now);
+                             common::TimePoint now,
+                             const common::ProcessName& agent = {});
 
-// A suspect that completed is cleared. Does not lift a ban.
-void NoteCompleted(SuspectList& list, common::Fingerprint fingerprint,
-                   common::TimePoint now);
+// A suspect that completed is cleared. Does not lift a ban. Returns the rows to
+// tell peers; none if it was no suspect.
+protocol::Suspects NoteCompleted(SuspectList& list,
+                                 common::Fingerprint fingerprint,
+                                 common::TimePoint now);
+
+// Agents to keep the suspect away from; empty if there are none.
+const std::set<common::ProcessName>& CrashedAt(const SuspectList& list,
+                                               common::Fingerprint fingerprint);
 
 // Takes over what a peer knows; returns true if that was news.
 bool Merge(SuspectList& list, const protocol::Suspects& suspects,
--- a/Source/Core/Wire/Fields.h
+++ b/Source/Core/Wire/Fields.h
@@ -54,7 +54,8 @@
   return std::tie(it.request, it.begun);
 }
 auto Fields(MaybeConst<protocol::SuspectRow> auto& it) {
-  return std::tie(it.fingerprint, it.crashes, it.ban_left, it.age);
+  return std::tie(it.fingerprint, it.crashes, it.ban_left, it.age,
+                  it.crashed_at);
 }
 auto Fields(MaybeConst<protocol::Suspects> auto& it) {
   return std::tie(it.rows);
--- a/Source/UnitTests/Core/Admission/UpstreamFaultsTest.cpp
+++ b/Source/UnitTests/Core/Admission/UpstreamFaultsTest.cpp
@@ -111,6 +111,46 @@
   BOOST_CHECK_EQUAL(suspects, 1);
 }
 
+// Guards against a suspect that runs here because its router had not heard of
+// the crash, and against one beside a copy that began before the crash.
+BOOST_AUTO_TEST_CASE(UnannouncedSuspectIsSentBack) {
+  Harness agent(Pool(3));
+  RequestOffered copy = agent.Offer(1);
+  agent.Give(copy);
+  agent.Message(kRouter, kRouterRun,
+                protocol::Suspects{
+                    .rows = {{.fingerprint = copy.fingerprint, .crashes = 1}}});
+  copy.id = Id(2);
+  agent.Take<RejectOffer>();
+  agent.Give(copy);
+  auto rejected = agent.Take<RejectOffer>();
+  BOOST_REQUIRE_EQUAL(rejected.size(), 1);
+  BOOST_CHECK(rejected.front().refusal.reason ==
+              common::Reason::kSuspectIsolated);
+  copy.id = Id(3);
+  copy.suspect = true;
+  agent.Give(copy);
+  rejected = agent.Take<RejectOffer>();
+  BOOST_REQUIRE_EQUAL(rejected.size(), 1);
+  agent.End(1, UpstreamOutcome::kError);
+  agent.Advance(milliseconds(100));
+  agent.Give(copy);
+  BOOST_CHECK_EQUAL(agent.state.running.size(), 1);
+}
+
+// Guards against a suspect without a slot that circles between its router and
+// the only agent that may run it.
+BOOST_AUTO_TEST_CASE(SuspectWaitsForASlot) {
+  Harness agent(Pool(1));
+  agent.Give(agent.Offer(1));
+  RequestOffered suspect = agent.Offer(2);
+  suspect.suspect = true;
+  agent.Give(suspect);
+  BOOST_CHECK_EQUAL(agent.state.waiting.size(), 1);
+  agent.End(1, UpstreamOutcome::kCompleted, 1);
+  BOOST_CHECK(agent.state.running.contains(Id(2)));
+}
+
 // Guards against estimates that fall towards zero because of requests that did
 // not run to their end.
 BOOST_AUTO_TEST_CASE(OnlyCompletedRequestsTeachTheEstimate) {
--- a/Source/UnitTests/Core/Routing/AgentTableTest.cpp
+++ b/Source/UnitTests/Core/Routing/AgentTableTest.cpp
@@ -37,9 +37,16 @@
                           .free_slots = free},
                          now);
   }
-  std::string Choose(common::TimePoint now = kStart,
-                     const Isolation& isolation = {}) {
-    const ProcessName* name = ChooseFree(*this, kPool, isolation, now);
+  std::string Choose(common::TimePoint now = kStart) {
+    const ProcessName* name = ChooseFree(*this, kPool, now);
+    return name == nullptr ? "" : name->value;
+  }
+  std::string ChooseSuspect(std::uint64_t fingerprint,
+                            const std::set<ProcessName>& crashed_at = {},
+                            common::TimePoint now = kStart) const {
+    const ProcessName* name = ChooseForSuspect(
+        *this, kPool, static_cast<common::Fingerprint>(fingerprint), crashed_at,
+        now);
     return name == nullptr ? "" : name->value;
   }
 };
@@ -110,17 +117,40 @@
   BOOST_CHECK(IsCurrent(table, kA, kFirst));
 }
 
-// Guards against two suspects at one agent.
-BOOST_AUTO_TEST_CASE(SuspectsAreKeptApart) {
+// Guards against routers that send copies of one suspect to different agents
+// because they see other slots, data centres or orders of arrival.
+BOOST_AUTO_TEST_CASE(AllCopiesOfASuspectGoToOneAgent) {
+  Table here;
+  here.Beat(kA, 9);
+  here.Beat(kB, 1);
+  NoteDispatched(here, kA, kRequest, true);
+  Table there;
+  there.data_centre = kThere;
+  there.Beat(kB, 0);
+  there.Beat(kA, 3);
+  std::set<std::string> chosen;
+  for (std::uint64_t it = 1; it <= 50; ++it) {
+    BOOST_CHECK_EQUAL(here.ChooseSuspect(it), there.ChooseSuspect(it));
+    chosen.insert(here.ChooseSuspect(it));
+  }
+  // Different suspects are spread.
+  BOOST_CHECK_EQUAL(chosen.size(), 2);
+}
+
+// Guards against a suspect that takes down a recovered upstream again while
+// there are others, and against one that nobody takes.
+BOOST_AUTO_TEST_CASE(SuspectAvoidsAgentsItCrashed) {
   Table table;
   table.Beat(kA, 9);
-  table.Beat(kB, 1);
-  NoteDispatched(table, kA, kRequest, true);
-  BOOST_CHECK_EQUAL(table.Choose(), "a");
-  BOOST_CHECK_EQUAL(table.Choose(kStart, {.suspect = true}), "b");
-  BOOST_CHECK_EQUAL(table.Choose(kStart, {.suspect = true, .avoid = kB}), "");
-  NoteEnded(table, kA, kRequest, true);
-  BOOST_CHECK_EQUAL(table.Choose(kStart, {.suspect = true}), "a");
+  table.Beat(kB, 9);
+  for (std::uint64_t it = 1; it <= 20; ++it) {
+    BOOST_CHECK_EQUAL(table.ChooseSuspect(it, {kA}), "b");
+    BOOST_CHECK_EQUAL(table.ChooseSuspect(it, {kB}), "a");
+    BOOST_CHECK_NE(table.ChooseSuspect(it, {kA, kB}), "");
+  }
+  table.Beat(kB, 9, kStart, kFirst, kHere, AgentState::kUpstreamDown);
+  BOOST_CHECK_EQUAL(table.ChooseSuspect(1, {kA}), "a");
+  BOOST_CHECK_EQUAL(table.ChooseSuspect(1, {}, kStart + seconds(1)), "");
 }
 
 // Guards against a choice that differs from the plain reading of the rules,
@@ -177,7 +207,7 @@
       RC_ASSERT(counts.busy + counts.silent + counts.leaving +
                     counts.not_serving ==
                 passed_over);
-      const ProcessName* choice = ChooseFree(table, kPool, {}, now);
+      const ProcessName* choice = ChooseFree(table, kPool, now);
       RC_ASSERT((choice != nullptr) == (best > 0));
       if (choice == nullptr) continue;
       const Agent& agent = table.agents.at(*choice);
--- a/Source/UnitTests/Core/Suspects/SuspectListTest.cpp
+++ b/Source/UnitTests/Core/Suspects/SuspectListTest.cpp
@@ -53,6 +53,41 @@
   BOOST_CHECK_EQUAL(list.suspects.at(kCulprit).crashes, 2);
 }
 
+// Guards against a harmless request that stays a suspect elsewhere after it
+// completed, and against a clearing that outlives a later crash.
+BOOST_AUTO_TEST_CASE(ClearingReachesPeers) {
+  SuspectList list;
+  SuspectList peer;
+  Merge(peer, NoteCrash(list, {kCulprit}, kStart, common::ProcessName("a")),
+        kStart);
+  BOOST_CHECK_EQUAL(CrashedAt(peer, kCulprit).size(), 1);
+  const protocol::Suspects cleared =
+      NoteCompleted(list, kCulprit, kStart + seconds(1));
+  BOOST_CHECK(Merge(peer, cleared, kStart + seconds(1)));
+  BOOST_CHECK(!Merge(peer, cleared, kStart + seconds(1)));
+  BOOST_CHECK(!IsSuspect(peer, kCulprit, kStart + seconds(1)));
+  BOOST_CHECK(CrashedAt(peer, kCulprit).empty());
+  NoteCrash(peer, {kCulprit}, kStart + seconds(3));
+  protocol::Suspects late = cleared;
+  late.rows.front().age = seconds(3);
+  BOOST_CHECK(!Merge(peer, late, kStart + seconds(4)));
+  BOOST_CHECK(IsSuspect(peer, kCulprit, kStart + seconds(4)));
+}
+
+// Guards against a suspect that is sent to an upstream which it crashed
+// according to another agent.
+BOOST_AUTO_TEST_CASE(CrashedAgentsAreMerged) {
+  SuspectList list;
+  Merge(list, NoteCrash(list, {kCulprit}, kStart, common::ProcessName("a")),
+        kStart);
+  SuspectList other;
+  const protocol::Suspects rows =
+      NoteCrash(other, {kCulprit}, kStart, common::ProcessName("b"));
+  BOOST_CHECK(Merge(list, rows, kStart));
+  BOOST_CHECK(!Merge(list, rows, kStart));
+  BOOST_CHECK_EQUAL(CrashedAt(list, kCulprit).size(), 2);
+}
+
 // Guards against a cleared suspect that a late report marks again.
 BOOST_AUTO_TEST_CASE(ReportFromBeforeTheClearingIsIgnored) {
   SuspectList list;
