Count crashes that happen at the same time

Cause: two copies that crash two upstreams at the same instant made one suspect with one crash in the eyes of everybody, and a third crash followed. A report that got lost on a cut link let a request be retried a third time.

Change: a report of a crash names its agent; whoever knows of another crash of exactly one of its rows bans that one, the rule that a single agent applies. An agent answers requests in flight at a crash with upstream_crashed instead of upstream_failed, and a router does not retry a request after two such answers.

--- a/Source/Core/Admission/Upstreams.cpp
+++ b/Source/Core/Admission/Upstreams.cpp
@@ -178,8 +178,8 @@
   Attempt attempt = std::move(it->second);
   state.running.erase(it);
   Settle(context, attempt, CostOfEnd(state, attempt, event));
-  const Refusal failed{.verdict = Verdict::kMayHaveRun,
-                       .reason = Reason::kUpstreamFailed};
+  Refusal failed{.verdict = Verdict::kMayHaveRun,
+                 .reason = Reason::kUpstreamFailed};
   switch (event.outcome) {
     case UpstreamOutcome::kCompleted:
       return OnCompleted(context, attempt, event, running);
@@ -200,6 +200,7 @@
       HoldSlot(context);
       break;
     case UpstreamOutcome::kBroken:
+      failed.reason = Reason::kUpstreamCrashed;
       break;
   }
   if (!attempt.key.empty()) NoteUnknown(state.keys, attempt.key, context.now);
--- a/Source/Core/Common/Verdict.cpp
+++ b/Source/Core/Common/Verdict.cpp
@@ -13,7 +13,7 @@
     {Verdict::kCompleted, "completed"},
 }};
 
-constexpr std::array<std::pair<Reason, std::string_view>, 27> kReasonNames = {{
+constexpr std::array<std::pair<Reason, std::string_view>, 28> kReasonNames = {{
     {Reason::kNone, "none"},
     {Reason::kNoConfiguration, "no_configuration"},
     {Reason::kBadRequest, "bad_request"},
@@ -38,6 +38,7 @@
     {Reason::kSuspectIsolated, "suspect_isolated"},
     {Reason::kPoisonous, "crashes_upstreams"},
     {Reason::kUpstreamFailed, "upstream_failed"},
+    {Reason::kUpstreamCrashed, "upstream_crashed"},
     {Reason::kUpstreamRefused, "upstream_refused"},
     {Reason::kConnectionLost, "connection_lost"},
     {Reason::kCallerGone, "caller_gone"},
--- a/Source/Core/Common/Verdict.h
+++ b/Source/Core/Common/Verdict.h
@@ -43,6 +43,7 @@
   kSuspectIsolated,
   kPoisonous,
   kUpstreamFailed,
+  kUpstreamCrashed,
   kUpstreamRefused,
   kConnectionLost,
   kCallerGone,
--- a/Source/Core/Protocol/Messages.h
+++ b/Source/Core/Protocol/Messages.h
@@ -117,6 +117,9 @@
 };
 
 struct Suspects {
+  // The agent whose upstream crashed with all of `rows` in flight; empty if the
+  // rows are of several crashes or none.
+  common::ProcessName crashed;
   std::vector<SuspectRow> rows;
 };
 
--- a/Source/Core/Routing/Dispatching.cpp
+++ b/Source/Core/Routing/Dispatching.cpp
@@ -118,9 +118,11 @@
 const common::ProcessName* FindForSuspect(const Context& context,
                                           const Request& request) {
   const RouterState& state = context.state;
-  return ChooseForSuspect(
-      state.agents, request.pool, request.fingerprint,
-      suspects::CrashedAt(state.suspects, request.fingerprint), context.now);
+  std::set<common::ProcessName> crashed_at =
+      suspects::CrashedAt(state.suspects, request.fingerprint);
+  crashed_at.insert(request.crashed_at.begin(), request.crashed_at.end());
+  return ChooseForSuspect(state.agents, request.pool, request.fingerprint,
+                          crashed_at, context.now);
 }
 
 // Sends a suspect to the agent that runs all its copies, where it may wait for
--- a/Source/Core/Routing/Outcomes.cpp
+++ b/Source/Core/Routing/Outcomes.cpp
@@ -8,6 +8,9 @@
 using common::Refusal;
 using common::Verdict;
 
+// Crashes after which a request is not retried, proven or not.
+constexpr int kMostCrashes = 2;
+
 Request* Find(Context& context, common::RequestId id) {
   const auto it = context.state.requests.find(id);
   return it == context.state.requests.end() ? nullptr : &it->second;
@@ -102,7 +105,14 @@
     return OnNotRun(context, request, refusal);
   }
   request.may_have_run = true;
-  const bool retry = request.idempotent && IsWorthRetrying(refusal.reason) &&
+  if (refusal.reason == Reason::kUpstreamCrashed) {
+    // The agent's report may arrive later than its answer or get lost.
+    ++request.crashes;
+    request.crashed_at.insert(request.agent);
+    request.isolate = true;
+  }
+  const bool retry = request.idempotent && request.crashes < kMostCrashes &&
+                     IsWorthRetrying(refusal.reason) &&
                      MayRetry(context, request);
   if (!retry) return Refuse(context, request, refusal);
   Log(context, request, "requeue", "retry");
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -84,6 +84,8 @@
   common::TimePoint timer;  // its entry in RouterState::timers
   std::uint32_t attempt = 0;
   int retries = 0;
+  int crashes = 0;  // of upstreams, with this request in flight
+  std::set<common::ProcessName> crashed_at;  // agents of these upstreams
   // An earlier attempt may have run; only an agent's word on the key of a
   // non-idempotent request overrules that.
   bool may_have_run = false;
--- a/Source/Core/Runtime/Refusals.cpp
+++ b/Source/Core/Runtime/Refusals.cpp
@@ -67,6 +67,8 @@
       return "the request crashed upstreams and is refused for a while";
     case Reason::kUpstreamFailed:
       return "the upstream failed";
+    case Reason::kUpstreamCrashed:
+      return "the upstream crashed while the request ran";
     case Reason::kUpstreamRefused:
       return "the upstream refused the request";
     case Reason::kConnectionLost:
@@ -114,6 +116,7 @@
     case Reason::kDeadlineTooShort:
       return 429;
     case Reason::kUpstreamFailed:
+    case Reason::kUpstreamCrashed:
     case Reason::kConnectionLost:
       return 502;
     case Reason::kDeadlineExceeded:
--- a/Source/Core/Suspects/SuspectList.cpp
+++ b/Source/Core/Suspects/SuspectList.cpp
@@ -1,6 +1,7 @@
 #include "Suspects/SuspectList.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace shallotbeam::suspects {
@@ -21,6 +22,23 @@
           .crashed_at = {suspect.crashed_at.begin(), suspect.crashed_at.end()}};
 }
 
+// The only one of a crash that crashed another upstream too, as far as known
+// here. Both crashes may have happened before either agent knew of the other.
+std::optional<common::Fingerprint> Culprit(const SuspectList& list,
+                                           const protocol::Suspects& crash,
+                                           common::TimePoint now) {
+  std::optional<common::Fingerprint> culprit;
+  if (crash.crashed.empty()) return culprit;
+  for (const protocol::SuspectRow& row : crash.rows) {
+    if (!IsSuspect(list, row.fingerprint, now)) continue;
+    const auto& crashed_at = CrashedAt(list, row.fingerprint);
+    if (crashed_at.contains(crash.crashed)) return std::nullopt;  // counted
+    if (culprit) return std::nullopt;
+    culprit = row.fingerprint;
+  }
+  return culprit;
+}
+
 // Returns true if the suspect was cleared by that.
 bool Clear(Suspect& suspect, common::TimePoint at) {
   if (suspect.crashes == 0 || suspect.last_crash >= at) return false;
@@ -55,7 +73,7 @@
   const auto known = std::count_if(
       distinct.begin(), distinct.end(),
       [&](common::Fingerprint it) { return IsSuspect(list, it, now); });
-  protocol::Suspects news;
+  protocol::Suspects news{.crashed = agent};
   for (const common::Fingerprint fingerprint : distinct) {
     const bool was_suspect = IsSuspect(list, fingerprint, now);
     Suspect& suspect = list.suspects[fingerprint];
@@ -92,6 +110,10 @@
 bool Merge(SuspectList& list, const protocol::Suspects& suspects,
            common::TimePoint now) {
   bool news = false;
+  if (const auto culprit = Culprit(list, suspects, now)) {
+    list.suspects[*culprit].banned_until = now + list.options.poison_ban;
+    news = true;
+  }
   for (const protocol::SuspectRow& row : suspects.rows) {
     if (row.crashes == 0 && row.ban_left.count() == 0) {
       const auto it = list.suspects.find(row.fingerprint);
--- a/Source/UnitTests/Core/Suspects/SuspectListTest.cpp
+++ b/Source/UnitTests/Core/Suspects/SuspectListTest.cpp
@@ -74,6 +74,35 @@
   BOOST_CHECK(IsSuspect(peer, kCulprit, kStart + seconds(4)));
 }
 
+// Guards against a third crash when the first two happened at the same time,
+// and against a ban because a report arrived twice.
+BOOST_AUTO_TEST_CASE(CrashesAtTheSameTimeAreCounted) {
+  const common::ProcessName a("a");
+  const common::ProcessName b("b");
+  SuspectList at_a;
+  SuspectList at_b;
+  const auto first = NoteCrash(at_a, {kCulprit, kOther}, kStart, a);
+  const auto second = NoteCrash(at_b, {kCulprit}, kStart, b);
+  SuspectList router;
+  Merge(router, first, kStart);
+  Merge(router, first, kStart);
+  BOOST_CHECK(!IsBanned(router, kCulprit, kStart));
+  BOOST_CHECK(Merge(router, second, kStart));
+  BOOST_CHECK(IsBanned(router, kCulprit, kStart));
+  BOOST_CHECK(!IsBanned(router, kOther, kStart));
+  Merge(at_a, second, kStart);
+  BOOST_CHECK(IsBanned(at_a, kCulprit, kStart));
+  // With two candidates in flight twice, neither is proven.
+  SuspectList at_c;
+  const auto third =
+      NoteCrash(at_c, {kCulprit, kOther}, kStart, common::ProcessName("c"));
+  SuspectList unsure;
+  Merge(unsure, first, kStart);
+  Merge(unsure, third, kStart);
+  BOOST_CHECK(!IsBanned(unsure, kCulprit, kStart));
+  BOOST_CHECK(!IsBanned(unsure, kOther, kStart));
+}
+
 // Guards against a suspect that is sent to an upstream which it crashed
 // according to another agent.
 BOOST_AUTO_TEST_CASE(CrashedAgentsAreMerged) {
