Count cancelled requests at a crash

Cause: a request whose caller left is no longer known to its agent, but may still crash the upstream. The crash was counted with nothing in flight, and a third one followed.

--- a/Source/Core/Admission/Agent.h
+++ b/Source/Core/Admission/Agent.h
@@ -39,6 +39,8 @@
   common::Duration shares_interval = std::chrono::milliseconds(200);
   common::Duration grant_timeout = std::chrono::milliseconds(500);
   common::Duration router_timeout = std::chrono::seconds(1);
+  // How long an upstream may still work on a cancelled request.
+  common::Duration cancel_grace = std::chrono::seconds(1);
   common::Duration probe_interval = std::chrono::milliseconds(500);
   // A workspace without demand for this long starts level on its return.
   common::Duration idle_after = std::chrono::milliseconds(500);
@@ -159,6 +161,8 @@
   std::map<common::WorkspaceName, common::TimePoint> last_demand;
   std::map<AttemptId, Attempt> running;
   std::list<Attempt> waiting;  // accepted, not begun
+  // Attempts cancelled within `cancel_grace`, which may still crash the upstream.
+  std::deque<std::pair<common::TimePoint, common::Fingerprint>> cancelled;
   int waiting_granted = 0;     // those that hold a grant
   std::map<common::GrantId, OutstandingGrant> grants;
   std::uint64_t next_grant = 1;
--- a/Source/Core/Admission/Upstreams.cpp
+++ b/Source/Core/Admission/Upstreams.cpp
@@ -38,6 +38,19 @@
       std::min(2 * state.error_backoff, state.options.max_error_backoff);
 }
 
+void ForgetCancelled(Context& context) {
+  auto& cancelled = context.state.cancelled;
+  const common::Duration grace = context.state.options.cancel_grace;
+  while (!cancelled.empty() && context.now - cancelled.front().first >= grace) {
+    cancelled.pop_front();
+  }
+}
+
+void Cancel(Context& context, const Attempt& attempt) {
+  context.state.cancelled.emplace_back(context.now, attempt.fingerprint);
+  context.Do(CancelUpstream{.id = attempt.id});
+}
+
 // The upstream is gone: everything in flight there is a suspect.
 void NoteUpstreamLost(Context& context) {
   AgentState& state = context.state;
@@ -47,6 +60,10 @@
   for (const auto& [id, attempt] : state.running) {
     in_flight.push_back(attempt.fingerprint);
   }
+  ForgetCancelled(context);
+  for (const auto& [at, fingerprint] : state.cancelled) {
+    in_flight.push_back(fingerprint);
+  }
   SendToRouters(context, suspects::NoteCrash(state.suspects, in_flight,
                                              context.now, state.options.name));
   // Routers can place these elsewhere.
@@ -166,7 +183,7 @@
       !state.estimates.contains({attempt.workspace, {}})) {
     NoteCost(state, attempt, attempt.charged);
   }
-  context.Do(CancelUpstream{.id = id});
+  Cancel(context, attempt);
 }
 
 void OnUpstreamEnded(Context& context, const UpstreamEnded& event) {
@@ -235,12 +252,13 @@
     RejectNotRun(context, TakeWaiting(context, late),
                  Reason::kDeadlineExceeded);
   }
+  ForgetCancelled(context);
   std::vector<AttemptId> late;
   for (const auto& [id, attempt] : state.running) {
     if (attempt.deadline <= context.now) late.push_back(id);
   }
   for (const AttemptId& id : late) {
-    context.Do(CancelUpstream{.id = id});
+    Cancel(context, state.running.at(id));
     OnUpstreamEnded(context, {.id = id, .outcome = UpstreamOutcome::kTimedOut});
   }
 }
--- a/Source/UnitTests/Core/Admission/UpstreamFaultsTest.cpp
+++ b/Source/UnitTests/Core/Admission/UpstreamFaultsTest.cpp
@@ -138,6 +138,22 @@
   BOOST_CHECK_EQUAL(agent.state.running.size(), 1);
 }
 
+// Guards against a crash that nobody counts because the caller of the request
+// left just before.
+BOOST_AUTO_TEST_CASE(CancelledRequestIsASuspect) {
+  Harness agent(Pool(1));
+  agent.Give(agent.Offer(1));
+  agent.Give(OfferWithdrawn{.id = Id(1)});
+  agent.Give(agent.Offer(2));
+  agent.Take<SendMessage>();
+  agent.End(2, UpstreamOutcome::kNotSent);
+  const auto reports = agent.TakeSent<protocol::Suspects>();
+  BOOST_REQUIRE_EQUAL(reports.size(), 1);
+  std::set<common::Fingerprint> reported;
+  for (const auto& it : reports.front().rows) reported.insert(it.fingerprint);
+  BOOST_CHECK(reported.contains(agent.Offer(1).fingerprint));
+}
+
 // Guards against a suspect without a slot that circles between its router and
 // the only agent that may run it.
 BOOST_AUTO_TEST_CASE(SuspectWaitsForASlot) {
