Tell agents that they are listed as leaving

Cause: only routers knew the host list, so an agent started what waited there when a slot freed later. A process that resumed took heartbeats that were held back during its pause as fresh.

Change: the heartbeat of a router says that the host list names the agent. The agent then drains as after SIGTERM but stays up. Heartbeats carry the time of the sender's clock and answer the last one of the receiver; after a gap of 500 ms between events a process ignores heartbeats that answer one from before it. An agent that hears of no router, or was paused for more than 1 s, starts nothing and returns what waits until a fresh heartbeat arrives.

--- a/Source/Core/Admission/Agent.cpp
+++ b/Source/Core/Admission/Agent.cpp
@@ -56,6 +56,10 @@
 void Handle(AgentState& state, common::TimePoint now, const AgentEvent& event,
             AgentActions* actions) {
   Context context{.state = state, .now = now, .actions = *actions};
+  const common::TimePoint last = state.pause.last_event;
+  const bool started = last != common::TimePoint();
+  if (started && now - last > state.options.router_timeout) state.deaf = true;
+  common::NoteEvent(state.pause, now);
   std::visit(EventHandler{context}, event);
   internal::FillSlots(context);
 }
--- a/Source/Core/Admission/Agent.h
+++ b/Source/Core/Admission/Agent.h
@@ -14,6 +14,7 @@
 #include "Admission/Events.h"
 #include "Admission/KeyTable.h"
 #include "Common/Clock.h"
+#include "Common/PauseGuard.h"
 #include "Common/Types.h"
 #include "Config/Model.h"
 #include "Fairness/ShareLedger.h"
@@ -54,6 +55,7 @@
   int max_waiting = 256;  // requests bound to this agent that wait here
   // How long a router learnt from another router is announced to unanswered.
   common::Duration forget_router_after = std::chrono::seconds(10);
+  common::Duration forget_stamp_after = std::chrono::minutes(5);
 };
 
 // A request that this agent has accepted.
@@ -111,6 +113,13 @@
   int urgent = 0;  // routers and bound attempts with urgent requests
 };
 
+// The last heartbeat of a router; kept when the router falls silent, because
+// the answers to it tell a paused router which of its heartbeats are fresh.
+struct RouterStamp {
+  std::uint64_t sent = 0;  // by the router's clock
+  common::TimePoint heard;
+};
+
 struct LearntRouter {
   common::Endpoint control;
   common::TimePoint mentioned;
@@ -161,13 +170,22 @@
   std::map<common::WorkspaceName, common::TimePoint> last_demand;
   std::map<AttemptId, Attempt> running;
   std::list<Attempt> waiting;  // accepted, not begun
-  // Attempts cancelled within `cancel_grace`, which may still crash the upstream.
+  // Attempts cancelled within `cancel_grace`, which may still crash the
+  // upstream.
   std::deque<std::pair<common::TimePoint, common::Fingerprint>> cancelled;
-  int waiting_granted = 0;     // those that hold a grant
+  int waiting_granted = 0;  // those that hold a grant
   std::map<common::GrantId, OutstandingGrant> grants;
   std::uint64_t next_grant = 1;
   std::map<common::ProcessName, RouterPeer> routers;
   std::map<common::ProcessName, LearntRouter> learnt_routers;
+  std::map<common::Endpoint, RouterStamp> router_stamps;  // by inbox
+  common::PauseGuard pause;
+  bool met_router = false;
+  // Since a long pause, no heartbeat of a router answered one of this process.
+  bool deaf = false;
+  // A router reported that the host list names this agent as leaving. Holds
+  // until the agent restarts: routers that restart don't know it.
+  bool listed_leaving = false;
   // Slots held back after errors, by the end of the hold.
   std::multiset<common::TimePoint> held_slots;
   common::Duration error_backoff{};
--- a/Source/Core/Admission/Control.cpp
+++ b/Source/Core/Admission/Control.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 protocol::AgentState StateOf(const AgentState& state) {
-  if (state.draining) return protocol::AgentState::kDraining;
+  if (IsLeaving(state)) return protocol::AgentState::kDraining;
   if (state.config.version == common::ConfigVersion::kNone) {
     return protocol::AgentState::kNoConfiguration;
   }
@@ -15,7 +15,8 @@
   return protocol::AgentState::kServing;
 }
 
-protocol::Heartbeat MakeHeartbeat(const AgentState& state) {
+protocol::Heartbeat MakeHeartbeat(const AgentState& state,
+                                  common::TimePoint now) {
   // Slots are not on offer for direct dispatch while others wait for them.
   const protocol::AgentState serving = StateOf(state);
   const bool open =
@@ -29,6 +30,7 @@
           .data_centre = state.options.data_centre,
           .control = state.options.control,
           .config_version = state.config.version,
+          .sent = common::ToStamp(now),
           .data = state.options.data,
           .pool = state.options.pool,
           .upstream = state.options.upstream,
@@ -71,14 +73,30 @@
   }
 }
 
+// Nothing new starts here any more.
+void StopGranting(Context& context) {
+  ReturnWaiting(context, common::Reason::kDraining);
+  DropGrants(context, {});
+  SendHeartbeats(context);
+}
+
 void OnRouterHeartbeat(Context& context, const protocol::Envelope& envelope,
                        const protocol::Heartbeat& heartbeat) {
   AgentState& state = context.state;
+  if (heartbeat.leaving && !state.listed_leaving) {
+    state.listed_leaving = true;
+    StopGranting(context);
+  }
+  if (!common::IsFresh(state.pause, heartbeat.answers)) return;
   RouterPeer* peer = FindSender(context, envelope);
   if (peer == nullptr) return;
   // Demand may arrive before the first heartbeat.
   const bool joined = peer->control == common::Endpoint();
   peer->control = heartbeat.control;
+  state.met_router = true;
+  state.deaf = false;
+  state.router_stamps[heartbeat.control] = {.sent = heartbeat.sent,
+                                            .heard = context.now};
   for (const protocol::PeerAddress& it : heartbeat.known_routers) {
     state.learnt_routers[it.process] = {.control = it.control,
                                         .mentioned = context.now};
@@ -136,6 +154,9 @@
     return context.now - it.second.mentioned >=
            state.options.forget_router_after;
   });
+  std::erase_if(state.router_stamps, [&](const auto& it) {
+    return context.now - it.second.heard >= state.options.forget_stamp_after;
+  });
 }
 
 void SendShares(Context& context) {
@@ -168,11 +189,17 @@
 void SendHeartbeats(Context& context) {
   AgentState& state = context.state;
   state.heartbeat_sent = context.now;
-  const protocol::Heartbeat heartbeat = MakeHeartbeat(state);
-  SendToRouters(context, heartbeat);
-  for (const auto& [name, learnt] : state.learnt_routers) {
-    if (state.routers.contains(name)) continue;
+  protocol::Heartbeat heartbeat = MakeHeartbeat(state, context.now);
+  const auto send = [&](const common::ProcessName& name,
+                        const common::Endpoint& control) {
+    const auto stamp = state.router_stamps.find(control);
+    heartbeat.answers =
+        stamp == state.router_stamps.end() ? 0 : stamp->second.sent;
     context.Do(SendMessage{.to = name, .body = heartbeat});
+  };
+  for (const auto& [name, peer] : state.routers) send(name, peer.control);
+  for (const auto& [name, learnt] : state.learnt_routers) {
+    if (!state.routers.contains(name)) send(name, learnt.control);
   }
   for (const common::Endpoint& seed : state.options.seed_routers) {
     const bool known =
@@ -180,8 +207,7 @@
                     [&](const auto& it) { return it.second.control == seed; });
     if (known) continue;
     // The name of a router is unknown until its first heartbeat.
-    context.Do(SendMessage{.to = common::ProcessName(common::ToString(seed)),
-                           .body = heartbeat});
+    send(common::ProcessName(common::ToString(seed)), seed);
   }
 }
 
@@ -208,9 +234,16 @@
   if (state.draining) return;
   state.draining = true;
   state.drain_started = context.now;
-  ReturnWaiting(context, common::Reason::kDraining);
-  DropGrants(context, {});
-  SendHeartbeats(context);
+  StopGranting(context);
+}
+
+bool IsLeaving(const AgentState& state) {
+  return state.draining || state.listed_leaving;
+}
+
+bool HearsRouters(const AgentState& state) {
+  // Before the first one is heard of, there may be none that knows better.
+  return !state.deaf && (!state.routers.empty() || !state.met_router);
 }
 
 void OnTick(Context& context) {
@@ -223,6 +256,8 @@
   }
   suspects::Expire(state.suspects, context.now);
   MeasureShareRate(context);
+  // The routers can place these elsewhere, and this agent may be leaving.
+  if (!HearsRouters(state)) ReturnWaiting(context, common::Reason::kBusy);
   // Before the heartbeat, which reports the slots that are left.
   FillSlots(context);
   if (context.now - state.heartbeat_sent >= state.options.heartbeat_interval) {
--- a/Source/Core/Admission/Internal.h
+++ b/Source/Core/Admission/Internal.h
@@ -102,6 +102,10 @@
 void OnTick(Context& context);
 void OnDrain(Context& context);
 void SendHeartbeats(Context& context);
+// Drains, or is listed as leaving.
+bool IsLeaving(const AgentState& state);
+// Whether a router was heard of lately, which would know of a leaving agent.
+bool HearsRouters(const AgentState& state);
 void SendToRouters(Context& context, const protocol::Body& body);
 
 void Log(Context& context, const Attempt& attempt, std::string_view decision,
--- a/Source/Core/Admission/Offers.cpp
+++ b/Source/Core/Admission/Offers.cpp
@@ -122,7 +122,8 @@
   if (state.config.version == common::ConfigVersion::kNone) {
     return Reason::kNoConfiguration;
   }
-  if (state.draining) return Reason::kDraining;
+  if (IsLeaving(state)) return Reason::kDraining;
+  if (!HearsRouters(state)) return Reason::kBusy;
   if (suspects::IsBanned(state.suspects, attempt.fingerprint, context.now)) {
     return Reason::kPoisonous;
   }
--- a/Source/Core/Admission/Slots.cpp
+++ b/Source/Core/Admission/Slots.cpp
@@ -151,7 +151,8 @@
 void FillSlots(Context& context) {
   AgentState& state = context.state;
   const bool configured = Slots(state.limit) > 0;
-  if (!configured || state.draining || !state.upstream_up) return;
+  if (!configured || IsLeaving(state) || !state.upstream_up) return;
+  if (!HearsRouters(state)) return;
   StartGranted(context);
   const int prefetch = state.limit.pool.prefetch;
   while (HasDemand(state) && FreeSlots(state) + prefetch > 0) {
--- a/Source/Core/Protocol/Messages.h
+++ b/Source/Core/Protocol/Messages.h
@@ -35,6 +35,13 @@
   common::DataCentreName data_centre;
   common::Endpoint control;  // the sender's inbox
   common::ConfigVersion config_version = common::ConfigVersion::kNone;
+  // Time of the sender's clock, and of the receiver's in the last heartbeat
+  // that the sender has of it (0: none). Tells a fresh heartbeat from one that
+  // was held back while the receiver was paused.
+  std::uint64_t sent = 0;
+  std::uint64_t answers = 0;
+  // To an agent: the host list names it as leaving.
+  bool leaving = false;
   // Agents only.
   common::Endpoint data;  // where routers hand requests over
   common::PoolName pool;
--- a/Source/Core/Routing/AgentTable.cpp
+++ b/Source/Core/Routing/AgentTable.cpp
@@ -135,6 +135,7 @@
     it.state = heartbeat.state;
     it.free_slots = heartbeat.free_slots;
     it.last_heard = now;
+    it.last_sent = heartbeat.sent;
     it.silent = false;
     it.alive = true;
   });
--- a/Source/Core/Routing/AgentTable.h
+++ b/Source/Core/Routing/AgentTable.h
@@ -44,9 +44,10 @@
   protocol::AgentState state = protocol::AgentState::kServing;
   int free_slots = 0;  // last report, less what was dispatched since
   common::TimePoint last_heard;
-  bool leaving = false;  // by the platform's host list
-  bool silent = false;   // by the last check or choice
-  bool alive = true;     // heard of within `dead_after`
+  std::uint64_t last_sent = 0;  // by its clock, in the last heartbeat
+  bool leaving = false;         // by the platform's host list
+  bool silent = false;          // by the last check or choice
+  bool alive = true;            // heard of within `dead_after`
   std::set<common::RequestId> in_flight;
   int suspects_in_flight = 0;  // of this router
 };
--- a/Source/Core/Routing/Control.cpp
+++ b/Source/Core/Routing/Control.cpp
@@ -52,6 +52,7 @@
   void operator()(const protocol::Heartbeat& heartbeat) {
     NoteRouters(context, envelope.sender, heartbeat);
     if (heartbeat.role != protocol::Role::kAgent) return;
+    if (!common::IsFresh(context.state.pause, heartbeat.answers)) return;
     const HeartbeatEffect effect =
         NoteHeartbeat(context.state.agents, envelope.sender,
                       envelope.incarnation, heartbeat, context.now);
@@ -126,12 +127,18 @@
     return;
   }
   state.heartbeat_sent = context.now;
-  SendToAgents(context,
-               protocol::Heartbeat{.role = protocol::Role::kRouter,
-                                   .data_centre = state.options.data_centre,
-                                   .control = state.options.control,
-                                   .config_version = state.config.version,
-                                   .known_routers = KnownRouters(context)});
+  protocol::Heartbeat heartbeat{.role = protocol::Role::kRouter,
+                                .data_centre = state.options.data_centre,
+                                .control = state.options.control,
+                                .config_version = state.config.version,
+                                .sent = common::ToStamp(context.now),
+                                .known_routers = KnownRouters(context)};
+  for (const auto& [name, agent] : state.agents.agents) {
+    if (!agent.alive) continue;
+    heartbeat.answers = agent.last_sent;
+    heartbeat.leaving = agent.leaving;
+    context.Do(SendMessage{.to = name, .body = heartbeat});
+  }
 }
 
 void SendShares(Context& context) {
--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -42,6 +42,9 @@
   }
   void operator()(const HostsListed& event) {
     for (const HostEntry& host : event.hosts) {
+      const bool known = context.state.agents.leaving.contains(host.process);
+      // The next tick tells the agents.
+      if (host.leaving && !known) context.state.heartbeat_sent = {};
       SetLeaving(context.state.agents, host.process, host.leaving);
     }
     // Names that left the list are forgotten; known agents keep their mark.
@@ -75,6 +78,7 @@
             RouterActions* actions) {
   Context context{.state = state, .now = now, .actions = *actions};
   if (state.started == common::TimePoint()) state.started = now;
+  common::NoteEvent(state.pause, now);
   std::visit(EventHandler{context}, event);
 }
 
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "Common/Clock.h"
+#include "Common/PauseGuard.h"
 #include "Common/Types.h"
 #include "Common/Verdict.h"
 #include "Config/Model.h"
@@ -137,6 +138,7 @@
   // Over all pools, as pools may be forgotten and come back.
   std::uint64_t demand_sequence = 0;
   common::TimePoint started;  // first event
+  common::PauseGuard pause;
   common::TimePoint heartbeat_sent;
   common::TimePoint shares_sent;
   std::uint64_t store_revision = 0;  // highest one seen
--- a/Source/Core/Wire/Fields.h
+++ b/Source/Core/Wire/Fields.h
@@ -22,8 +22,9 @@
 }
 auto Fields(MaybeConst<protocol::Heartbeat> auto& it) {
   return std::tie(it.role, it.data_centre, it.control, it.config_version,
-                  it.data, it.pool, it.upstream, it.state, it.free_slots,
-                  it.slot_limit, it.known_routers);
+                  it.sent, it.answers, it.leaving, it.data, it.pool,
+                  it.upstream, it.state, it.free_slots, it.slot_limit,
+                  it.known_routers);
 }
 auto Fields(MaybeConst<protocol::WorkspaceDemand> auto& it) {
   return std::tie(it.workspace, it.waiting, it.oldest_wait, it.urgency);
--- a/Source/UnitTests/Core/Admission/LifecycleTest.cpp
+++ b/Source/UnitTests/Core/Admission/LifecycleTest.cpp
@@ -106,6 +106,57 @@
   BOOST_CHECK_EQUAL(agent.TakeSent<protocol::Shares>().size(), 1);
 }
 
+// Guards against requests that wait at an agent named as leaving and start
+// later, and against a host list entry that ends the process.
+BOOST_AUTO_TEST_CASE(ListedAgentReturnsWhatWaits) {
+  Harness agent(Pool(1));
+  agent.Give(agent.Offer(1));
+  agent.Give(agent.Offer(2, "k", 1));
+  agent.actions.clear();
+  agent.Message(kRouter, kRouterRun, protocol::Heartbeat{.leaving = true});
+  const auto rejected = agent.Take<RejectOffer>();
+  BOOST_REQUIRE_EQUAL(rejected.size(), 1);
+  BOOST_CHECK(rejected.front().refusal.reason == common::Reason::kDraining);
+  // A router that restarted does not know.
+  agent.Advance(seconds(2));
+  agent.End(1, UpstreamOutcome::kCompleted, 1);
+  agent.Advance(seconds(1));
+  BOOST_CHECK(agent.Take<DrainCompleted>().empty());
+  agent.Give(agent.Offer(3));
+  BOOST_CHECK(agent.state.running.empty());
+}
+
+// Guards against work that starts after a pause because of messages that were
+// held back, while the host list names the agent as leaving.
+BOOST_AUTO_TEST_CASE(PausedAgentWaitsForAFreshHeartbeat) {
+  Harness agent(Pool(1));
+  const std::uint64_t before = common::ToStamp(agent.now);
+  agent.now += seconds(3);
+  agent.Message(kRouter, kRouterRun, protocol::Heartbeat{.answers = before});
+  agent.Give(agent.Offer(1));
+  BOOST_CHECK(agent.state.running.empty());
+  agent.Message(kRouter, kRouterRun,
+                protocol::Heartbeat{.answers = common::ToStamp(agent.now)});
+  agent.Give(agent.Offer(2));
+  BOOST_CHECK_EQUAL(agent.state.running.size(), 1);
+}
+
+// Guards against an agent cut off from all routers that starts what waits
+// there.
+BOOST_AUTO_TEST_CASE(UnheardRoutersGetTheirRequestsBack) {
+  Harness agent(Pool(1));
+  agent.Give(agent.Offer(1));
+  agent.Give(agent.Offer(2, "k", 1));
+  agent.actions.clear();
+  for (int i = 0; i < 60; ++i) {
+    agent.now += milliseconds(20);
+    agent.Give(Tick{});
+  }
+  const auto rejected = agent.Take<RejectOffer>();
+  BOOST_REQUIRE_EQUAL(rejected.size(), 1);
+  BOOST_CHECK(rejected.front().refusal.verdict == common::Verdict::kNotRun);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::admission
--- a/Source/UnitTests/Core/Routing/RouterTest.cpp
+++ b/Source/UnitTests/Core/Routing/RouterTest.cpp
@@ -361,6 +361,38 @@
   BOOST_CHECK(refusals[4].verdict == Verdict::kMayHaveRun);
 }
 
+// Guards against work for an agent that was alive only before a pause of this
+// router.
+BOOST_AUTO_TEST_CASE(HeldBackHeartbeatsAreNotFresh) {
+  Fixture it;
+  it.Beat(kA, 5);
+  const auto beat = [&](std::uint64_t answers) {
+    it.Receive(kA, kFirst,
+               protocol::Heartbeat{.role = protocol::Role::kAgent,
+                                   .answers = answers,
+                                   .pool = kPool,
+                                   .free_slots = 5});
+  };
+  const std::uint64_t before = common::ToStamp(it.now);
+  it.now += seconds(2);
+  beat(before);
+  BOOST_CHECK(Only<DispatchRequest>(it.Arrive(1)).empty());
+  beat(common::ToStamp(it.now));
+  BOOST_CHECK_EQUAL(Only<DispatchRequest>(it.Arrive(2)).size(), 0);
+  BOOST_CHECK_EQUAL(Only<DispatchRequest>(it.Grant(kA, 1)).size(), 1);
+}
+
+// Guards against an agent that is not told that the host list names it.
+BOOST_AUTO_TEST_CASE(ListedAgentIsTold) {
+  Fixture it;
+  it.Beat(kA, 5);
+  it.Tick(milliseconds(250));
+  it.Send(HostsListed{.hosts = {{.process = kA, .leaving = true}}});
+  const auto beats = Sent<protocol::Heartbeat>(it.Tick());
+  BOOST_REQUIRE_EQUAL(beats.size(), 1);
+  BOOST_CHECK(beats.front().leaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::routing::testing
