Retry at another upstream than the one that failed

Cause: a retry after upstream_failed waited in the queue and could be granted by the same failing agent until the retries were used up.

Change: a retry is dispatched at once if another agent has a free slot, and for 500 ms does not take a slot of an agent that failed it while the pool has other serving agents.

Measured: RetryAvoidsTheUpstreamThatFailed is new. Also tried: restoring the demand of an expired grant, so that a lost grant costs 500 ms and not up to 1 s. LostGrantExpires and ReturnStartsLevel specify that nothing is granted again before the next report, so it was not kept.

--- a/Source/Core/Routing/AgentTable.cpp
+++ b/Source/Core/Routing/AgentTable.cpp
@@ -84,10 +84,10 @@
   agent.incarnation = incarnation;
 }
 
-const common::ProcessName* ChooseFrom(AgentTable& table,
-                                      const common::PoolName& pool,
-                                      PoolAgents::FreeList PoolAgents::*list,
-                                      common::TimePoint now) {
+const common::ProcessName* ChooseFrom(
+    AgentTable& table, const common::PoolName& pool,
+    PoolAgents::FreeList PoolAgents::*list, common::TimePoint now,
+    const std::set<common::ProcessName>& avoid) {
   const auto members = table.pools.find(pool);
   if (members == table.pools.end()) return nullptr;
   const PoolAgents::FreeList& free = members->second.*list;
@@ -99,7 +99,7 @@
              [](Agent& silent) { silent.silent = true; });
       continue;
     }
-    return &agent->first;
+    if (!avoid.contains(agent->first)) return &agent->first;
   }
   return nullptr;
 }
@@ -155,13 +155,24 @@
   return it != table.agents.end() && it->second.incarnation == incarnation;
 }
 
-const common::ProcessName* ChooseFree(AgentTable& table,
-                                      const common::PoolName& pool,
-                                      common::TimePoint now) {
+const common::ProcessName* ChooseFree(
+    AgentTable& table, const common::PoolName& pool, common::TimePoint now,
+    const std::set<common::ProcessName>& avoid) {
   const common::ProcessName* here =
-      ChooseFrom(table, pool, &PoolAgents::free_here, now);
+      ChooseFrom(table, pool, &PoolAgents::free_here, now, avoid);
   if (here != nullptr) return here;
-  return ChooseFrom(table, pool, &PoolAgents::free, now);
+  return ChooseFrom(table, pool, &PoolAgents::free, now, avoid);
+}
+
+bool HasOther(const AgentTable& table, const common::PoolName& pool,
+              const std::set<common::ProcessName>& avoid,
+              common::TimePoint now) {
+  return std::any_of(table.agents.begin(), table.agents.end(),
+                     [&](const auto& it) {
+                       const auto& [name, agent] = it;
+                       return agent.pool == pool && !avoid.contains(name) &&
+                              IsEligible(table, agent, now);
+                     });
 }
 
 const common::ProcessName* ChooseForSuspect(
--- a/Source/Core/Routing/AgentTable.h
+++ b/Source/Core/Routing/AgentTable.h
@@ -99,9 +99,14 @@
 
 // The eligible agent with the most free slots, or nullptr. Agents in the
 // router's own data centre are preferred.
-const common::ProcessName* ChooseFree(AgentTable& table,
-                                      const common::PoolName& pool,
-                                      common::TimePoint now);
+const common::ProcessName* ChooseFree(
+    AgentTable& table, const common::PoolName& pool, common::TimePoint now,
+    const std::set<common::ProcessName>& avoid = {});
+
+// Whether the pool has an eligible agent that is not in `avoid`.
+bool HasOther(const AgentTable& table, const common::PoolName& pool,
+              const std::set<common::ProcessName>& avoid,
+              common::TimePoint now);
 
 // The eligible agent that runs all copies of a suspect, or nullptr. Routers
 // that know of the same agents choose the same one, by rendezvous hashing.
--- a/Source/Core/Routing/Dispatching.cpp
+++ b/Source/Core/Routing/Dispatching.cpp
@@ -109,9 +109,20 @@
           .retry_after = RetryAfter(context, kRetryAfter)});
 }
 
+// The request failed at some agents, and the pool has others.
+bool MustAvoidFailed(const Context& context, const Request& request) {
+  const common::Duration limit = context.state.options.avoid_failed;
+  return !request.failed_at.empty() && context.now - request.failed < limit &&
+         HasOther(context.state.agents, request.pool, request.failed_at,
+                  context.now);
+}
+
 const common::ProcessName* FindFree(Context& context, const Request& request) {
   RouterState& state = context.state;
   if (PoolOf(context, request).queue.waiting > 0) return nullptr;
+  const common::ProcessName* free =
+      ChooseFree(state.agents, request.pool, context.now, request.failed_at);
+  if (free != nullptr || MustAvoidFailed(context, request)) return free;
   return ChooseFree(state.agents, request.pool, context.now);
 }
 
@@ -337,14 +348,27 @@
   const bool usable = pool != state.pools.end() &&
                       known != state.agents.agents.end() &&
                       IsEligible(state.agents, known->second, context.now);
-  while (usable) {
+  std::vector<common::RequestId> kept;
+  bool dispatched = false;
+  while (usable && !dispatched) {
     const auto next = Pop(pool->second.queue, grant.workspace, context.now);
     pool->second.demand_changed = true;
     if (!next) break;
     Request& request = state.requests.at(next->id);
+    if (request.failed_at.contains(agent) &&
+        MustAvoidFailed(context, request)) {
+      kept.push_back(request.id);
+      continue;
+    }
     if (HoldBack(context, request, agent)) continue;
-    return DispatchTo(context, request, agent, grant.grant);
+    DispatchTo(context, request, agent, grant.grant);
+    dispatched = true;
+  }
+  // They wait for a grant of another agent.
+  for (const common::RequestId id : kept) {
+    Enqueue(context, state.requests.at(id));
   }
+  if (dispatched) return;
   context.Do(SendMessage{.to = agent,
                          .body = protocol::GrantReturn{.grant = grant.grant}});
 }
--- a/Source/Core/Routing/Outcomes.cpp
+++ b/Source/Core/Routing/Outcomes.cpp
@@ -115,8 +115,11 @@
                      IsWorthRetrying(refusal.reason) &&
                      MayRetry(context, request);
   if (!retry) return Refuse(context, request, refusal);
+  request.failed_at.insert(request.agent);
+  request.failed = context.now;
   Log(context, request, "requeue", "retry");
-  Enqueue(context, request);
+  request.grant = common::GrantId::kNone;
+  Resume(context, request);
 }
 
 // No complete answer: the connection failed or broke, or the agent is silent.
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -53,6 +53,8 @@
   // sent, is tried again; doubles from the first to the last.
   common::Duration first_delay = std::chrono::milliseconds(20);
   common::Duration last_delay = std::chrono::seconds(1);
+  // How long a retry waits for another upstream than the one that failed.
+  common::Duration avoid_failed = std::chrono::milliseconds(500);
   // How long a router named by an agent is passed on.
   common::Duration router_memory = std::chrono::seconds(10);
   common::Duration drain_deadline = std::chrono::seconds(60);
@@ -85,6 +87,8 @@
   common::TimePoint timer;  // its entry in RouterState::timers
   std::uint32_t attempt = 0;
   int retries = 0;
+  std::set<common::ProcessName> failed_at;  // agents whose upstream failed it
+  common::TimePoint failed;                 // the last time
   int crashes = 0;  // of upstreams, with this request in flight
   std::set<common::ProcessName> crashed_at;  // agents of these upstreams
   // An earlier attempt may have run; only an agent's word on the key of a
--- a/Source/UnitTests/Core/Routing/RouterTest.cpp
+++ b/Source/UnitTests/Core/Routing/RouterTest.cpp
@@ -393,6 +393,35 @@
   BOOST_CHECK(beats.front().leaving);
 }
 
+// Guards against retries at the upstream that just failed while another one of
+// the pool is healthy, and against a request that waits for one when there is
+// none.
+BOOST_AUTO_TEST_CASE(RetryAvoidsTheUpstreamThatFailed) {
+  Fixture it;
+  it.Beat(kA, 9);
+  it.Beat(kB, 1);
+  const common::Refusal failed{.verdict = Verdict::kMayHaveRun,
+                               .reason = Reason::kUpstreamFailed};
+  it.Arrive(1);
+  const auto retried =
+      Only<DispatchRequest>(it.End(1, 1, DispatchOutcome::kRefused, failed));
+  BOOST_REQUIRE_EQUAL(retried.size(), 1);
+  BOOST_CHECK_EQUAL(retried.front().agent.value, kB.value);
+  it.Beat(kB, 0);
+  it.Arrive(2);
+  BOOST_CHECK(
+      Only<DispatchRequest>(it.End(2, 1, DispatchOutcome::kRefused, failed))
+          .empty());
+  BOOST_CHECK(Only<DispatchRequest>(it.Grant(kA, 1)).empty());
+  BOOST_CHECK_EQUAL(Only<DispatchRequest>(it.Grant(kB, 2)).size(), 1);
+  it.Beat(kB, 0, kFirst, protocol::AgentState::kUpstreamDown);
+  it.Arrive(3);
+  const auto alone =
+      Only<DispatchRequest>(it.End(3, 1, DispatchOutcome::kRefused, failed));
+  BOOST_REQUIRE_EQUAL(alone.size(), 1);
+  BOOST_CHECK_EQUAL(alone.front().agent.value, kA.value);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::routing::testing
