Keep a suspect apart from one that was cancelled

Cause: requests cancelled within the last second count as in flight at a crash. With another suspect among them the crash proved nothing, and a third followed.

--- a/Source/Core/Admission/Offers.cpp
+++ b/Source/Core/Admission/Offers.cpp
@@ -139,7 +139,15 @@
   const bool other_suspect =
       std::any_of(state.running.begin(), state.running.end(),
                   [&](const auto& it) { return is_suspect(it.second); });
-  if (other_suspect) return Reason::kSuspectIsolated;
+  // The upstream may still work on it, and both would be in flight at a crash.
+  const bool cancelled_suspect = std::any_of(
+      state.cancelled.begin(), state.cancelled.end(), [&](const auto& it) {
+        const auto& [at, fingerprint] = it;
+        return fingerprint != attempt.fingerprint &&
+               context.now - at < state.options.cancel_grace &&
+               suspects::IsSuspect(state.suspects, fingerprint, context.now);
+      });
+  if (other_suspect || cancelled_suspect) return Reason::kSuspectIsolated;
   return std::nullopt;
 }
 
--- a/Source/UnitTests/Core/Admission/UpstreamFaultsTest.cpp
+++ b/Source/UnitTests/Core/Admission/UpstreamFaultsTest.cpp
@@ -154,6 +154,27 @@
   BOOST_CHECK(reported.contains(agent.Offer(1).fingerprint));
 }
 
+// Guards against a crash that proves nothing because another suspect was
+// cancelled just before.
+BOOST_AUTO_TEST_CASE(SuspectWaitsForACancelledOne) {
+  Harness agent(Pool(2));
+  RequestOffered first = agent.Offer(1);
+  RequestOffered second = agent.Offer(2);
+  agent.Message(
+      kRouter, kRouterRun,
+      protocol::Suspects{
+          .rows = {{.fingerprint = first.fingerprint, .crashes = 1},
+                   {.fingerprint = second.fingerprint, .crashes = 1}}});
+  first.suspect = second.suspect = true;
+  agent.Give(first);
+  agent.Give(OfferWithdrawn{.id = Id(1)});
+  agent.Give(second);
+  BOOST_CHECK(agent.state.running.empty());
+  agent.Advance(seconds(1));
+  agent.Give(second);
+  BOOST_CHECK_EQUAL(agent.state.running.size(), 1);
+}
+
 // Guards against a suspect without a slot that circles between its router and
 // the only agent that may run it.
 BOOST_AUTO_TEST_CASE(SuspectWaitsForASlot) {
