--- a/Source/Core/Suspects/SuspectList.cpp
+++ b/Source/Core/Suspects/SuspectList.cpp
@@ -102,9 +102,9 @@
 
 const std::set<common::ProcessName>& CrashedAt(
     const SuspectList& list, common::Fingerprint fingerprint) {
-  static const std::set<common::ProcessName> kNone;
+  static const std::set<common::ProcessName> none;
   const auto it = list.suspects.find(fingerprint);
-  return it == list.suspects.end() ? kNone : it->second.crashed_at;
+  return it == list.suspects.end() ? none : it->second.crashed_at;
 }
 
 bool Merge(SuspectList& list, const protocol::Suspects& suspects,
