--- a/Source/Core/Admission/Offers.cpp
+++ b/Source/Core/Admission/Offers.cpp
@@ -24,9 +24,8 @@
   attempt.workspace = event.workspace;
   attempt.kind = event.kind;
   attempt.fingerprint = event.fingerprint;
-  attempt.suspect =
-      event.suspect || suspects::IsSuspect(context.state.suspects,
-                                           event.fingerprint, context.now);
+  attempt.suspect = event.suspect;
+  attempt.movable = event.key.empty() || event.binding_revision > 0;
   if (!event.key.empty()) attempt.key = ScopedKey(event.workspace, event.key);
   attempt.deadline = context.now + event.time_left;
   return attempt;
@@ -123,17 +122,32 @@
   if (state.config.version == common::ConfigVersion::kNone) {
     return Reason::kNoConfiguration;
   }
-  if (state.draining) return Reason::kDraining;
+  if (IsLeaving(state)) return Reason::kDraining;
+  if (!HearsRouters(state)) return Reason::kBusy;
   if (suspects::IsBanned(state.suspects, attempt.fingerprint, context.now)) {
     return Reason::kPoisonous;
   }
   if (!state.upstream_up) return Reason::kBusy;
-  if (attempt.suspect) {
-    const bool other_suspect =
-        std::any_of(state.running.begin(), state.running.end(),
-                    [](const auto& it) { return it.second.suspect; });
-    if (other_suspect) return Reason::kSuspectIsolated;
-  }
+  const auto is_suspect = [&](const Attempt& it) {
+    return it.suspect ||
+           suspects::IsSuspect(state.suspects, it.fingerprint, context.now);
+  };
+  if (!is_suspect(attempt)) return std::nullopt;
+  // The router did not know, or it would have chosen the agent that runs all
+  // copies of the suspect.
+  if (!attempt.suspect && attempt.movable) return Reason::kSuspectIsolated;
+  const bool other_suspect =
+      std::any_of(state.running.begin(), state.running.end(),
+                  [&](const auto& it) { return is_suspect(it.second); });
+  // The upstream may still work on it, and both would be in flight at a crash.
+  const bool cancelled_suspect = std::any_of(
+      state.cancelled.begin(), state.cancelled.end(), [&](const auto& it) {
+        const auto& [at, fingerprint] = it;
+        return fingerprint != attempt.fingerprint &&
+               context.now - at < state.options.cancel_grace &&
+               suspects::IsSuspect(state.suspects, fingerprint, context.now);
+      });
+  if (other_suspect || cancelled_suspect) return Reason::kSuspectIsolated;
   return std::nullopt;
 }
 
@@ -165,7 +179,10 @@
   }
   const int bound =
       static_cast<int>(state.waiting.size()) - state.waiting_granted;
-  const bool may_wait = granted || (keyed && bound < state.options.max_waiting);
+  // All routers send a suspect here, so that no other agent could take it.
+  const bool only_here = keyed || attempt.suspect;
+  const bool may_wait =
+      granted || (only_here && bound < state.options.max_waiting);
   if (!may_wait) return RejectNotRun(context, attempt, Reason::kBusy);
   AddWaiting(context, std::move(attempt));
 }
--- a/Source/Core/Admission/Slots.cpp
+++ b/Source/Core/Admission/Slots.cpp
@@ -87,9 +87,6 @@
 void StartWaiting(Context& context, WaitingIterator it,
                   std::string_view cause) {
   Attempt attempt = TakeWaiting(context, it);
-  attempt.suspect =
-      attempt.suspect || suspects::IsSuspect(context.state.suspects,
-                                             attempt.fingerprint, context.now);
   if (const auto reason = CheckOffer(context, attempt)) {
     return RejectNotRun(context, attempt, *reason);
   }
@@ -159,7 +156,8 @@
 void FillSlots(Context& context) {
   AgentState& state = context.state;
   const bool configured = Slots(state.limit) > 0;
-  if (!configured || state.draining || !state.upstream_up) return;
+  if (!configured || IsLeaving(state) || !state.upstream_up) return;
+  if (!HearsRouters(state)) return;
   StartGranted(context);
   const int prefetch = state.limit.pool.prefetch;
   while (HasDemand(state) && FreeSlots(state) + prefetch > 0) {
--- a/Source/Core/Protocol/Messages.h
+++ b/Source/Core/Protocol/Messages.h
@@ -35,6 +35,13 @@
   common::DataCentreName data_centre;
   common::Endpoint control;  // the sender's inbox
   common::ConfigVersion config_version = common::ConfigVersion::kNone;
+  // Time of the sender's clock, and of the receiver's in the last heartbeat
+  // that the sender has of it (0: none). Tells a fresh heartbeat from one that
+  // was held back while the receiver was paused.
+  std::uint64_t sent = 0;
+  std::uint64_t answers = 0;
+  // To an agent: the host list names it as leaving.
+  bool leaving = false;
   // Agents only.
   common::Endpoint data;  // where routers hand requests over
   common::PoolName pool;
@@ -107,13 +114,19 @@
 
 struct SuspectRow {
   common::Fingerprint fingerprint = common::Fingerprint::kNone;
-  int crashes = 0;
+  int crashes = 0;  // without a ban: 0 clears the suspect
   // Time left of a ban; zero while the fingerprint is only a suspect.
   std::chrono::milliseconds ban_left{0};
-  std::chrono::milliseconds age{0};  // since the last crash
+  // Since the last crash; without crashes, since the clearing.
+  std::chrono::milliseconds age{0};
+  // Agents whose upstreams crashed with it in flight.
+  std::vector<common::ProcessName> crashed_at;
 };
 
 struct Suspects {
+  // The agent whose upstream crashed with all of `rows` in flight; empty if the
+  // rows are of several crashes or none.
+  common::ProcessName crashed;
   std::vector<SuspectRow> rows;
 };
 
--- a/Source/Core/Routing/AgentTable.h
+++ b/Source/Core/Routing/AgentTable.h
@@ -44,9 +44,10 @@
   protocol::AgentState state = protocol::AgentState::kServing;
   int free_slots = 0;  // last report, less what was dispatched since
   common::TimePoint last_heard;
-  bool leaving = false;  // by the platform's host list
-  bool silent = false;   // by the last check or choice
-  bool alive = true;     // heard of within `dead_after`
+  std::uint64_t last_sent = 0;  // by its clock, in the last heartbeat
+  bool leaving = false;         // by the platform's host list
+  bool silent = false;          // by the last check or choice
+  bool alive = true;            // heard of within `dead_after`
   std::set<common::RequestId> in_flight;
   int suspects_in_flight = 0;  // of this router
 };
@@ -74,12 +75,6 @@
   std::set<common::ProcessName> leaving;
 };
 
-// A suspect runs with no other suspect at its agent.
-struct Isolation {
-  bool suspect = false;
-  common::ProcessName avoid;  // the agent that refused it last
-};
-
 // What changed by a heartbeat.
 struct HeartbeatEffect {
   bool ignored = false;  // from a replaced incarnation
@@ -103,12 +98,23 @@
                common::Incarnation incarnation);
 
 // The eligible agent with the most free slots, or nullptr. Agents in the
-// router's own data centre are preferred. A suspect goes only to an agent to
-// which this router has not sent another one.
-const common::ProcessName* ChooseFree(AgentTable& table,
-                                      const common::PoolName& pool,
-                                      const Isolation& isolation,
-                                      common::TimePoint now);
+// router's own data centre are preferred.
+const common::ProcessName* ChooseFree(
+    AgentTable& table, const common::PoolName& pool, common::TimePoint now,
+    const std::set<common::ProcessName>& avoid = {});
+
+// Whether the pool has an eligible agent that is not in `avoid`.
+bool HasOther(const AgentTable& table, const common::PoolName& pool,
+              const std::set<common::ProcessName>& avoid,
+              common::TimePoint now);
+
+// The eligible agent that runs all copies of a suspect, or nullptr. Routers
+// that know of the same agents choose the same one, by rendezvous hashing.
+// Agents of `crashed_at` are chosen only if there are no others.
+const common::ProcessName* ChooseForSuspect(
+    const AgentTable& table, const common::PoolName& pool,
+    common::Fingerprint fingerprint,
+    const std::set<common::ProcessName>& crashed_at, common::TimePoint now);
 
 // An eligible agent to bind a ticket to; random, as the ticket may be used
 // later. Returns nullptr if there is none.
--- a/Source/Core/Routing/Outcomes.cpp
+++ b/Source/Core/Routing/Outcomes.cpp
@@ -8,6 +8,9 @@
 using common::Refusal;
 using common::Verdict;
 
+// Crashes after which a request is not retried, proven or not.
+constexpr int kMostCrashes = 2;
+
 Request* Find(Context& context, common::RequestId id) {
   const auto it = context.state.requests.find(id);
   return it == context.state.requests.end() ? nullptr : &it->second;
@@ -65,10 +68,10 @@
 void PlaceAgain(Context& context, Request& request, Reason reason) {
   request.owner.reset();
   Log(context, request, "requeue", common::ToString(reason));
-  if (reason != Reason::kSuspectIsolated) return Enqueue(context, request);
-  // The agent has a free slot and would grant it again at once.
-  request.avoid = request.agent;
-  Delay(context, request);
+  request.isolate = request.isolate || reason == Reason::kSuspectIsolated;
+  // Only one agent takes a suspect, and has no room for it now.
+  if (request.isolate || request.suspect) return Delay(context, request);
+  Enqueue(context, request);
 }
 
 void Truncate(Context& context, const Request& request,
@@ -102,11 +105,21 @@
     return OnNotRun(context, request, refusal);
   }
   request.may_have_run = true;
-  const bool retry = request.idempotent && IsWorthRetrying(refusal.reason) &&
+  if (refusal.reason == Reason::kUpstreamCrashed) {
+    // The agent's report may arrive later than its answer or get lost.
+    ++request.crashes;
+    request.crashed_at.insert(request.agent);
+    request.isolate = true;
+  }
+  const bool retry = request.idempotent && request.crashes < kMostCrashes &&
+                     IsWorthRetrying(refusal.reason) &&
                      MayRetry(context, request);
   if (!retry) return Refuse(context, request, refusal);
+  request.failed_at.insert(request.agent);
+  request.failed = context.now;
   Log(context, request, "requeue", "retry");
-  Enqueue(context, request);
+  request.grant = common::GrantId::kNone;
+  Resume(context, request);
 }
 
 // No complete answer: the connection failed or broke, or the agent is silent.
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "Common/Clock.h"
+#include "Common/PauseGuard.h"
 #include "Common/Types.h"
 #include "Common/Verdict.h"
 #include "Config/Model.h"
@@ -54,6 +55,8 @@
   // sent, is tried again; doubles from the first to the last.
   common::Duration first_delay = std::chrono::milliseconds(20);
   common::Duration last_delay = std::chrono::seconds(1);
+  // How long a retry waits for another upstream than the one that failed.
+  common::Duration avoid_failed = std::chrono::milliseconds(500);
   // How long a router named by an agent is passed on.
   common::Duration router_memory = std::chrono::seconds(10);
   common::Duration drain_deadline = std::chrono::seconds(60);
@@ -86,6 +89,10 @@
   common::TimePoint timer;  // its entry in RouterState::timers
   std::uint32_t attempt = 0;
   int retries = 0;
+  std::set<common::ProcessName> failed_at;  // agents whose upstream failed it
+  common::TimePoint failed;                 // the last time
+  int crashes = 0;  // of upstreams, with this request in flight
+  std::set<common::ProcessName> crashed_at;  // agents of these upstreams
   // An earlier attempt may have run; only an agent's word on the key of a
   // non-idempotent request overrules that.
   bool may_have_run = false;
@@ -93,7 +100,7 @@
   common::ProcessName agent;  // of the current attempt
   common::GrantId grant = common::GrantId::kNone;
   bool suspect = false;           // the current attempt runs isolated
-  common::ProcessName avoid;      // refused it as a suspect
+  bool isolate = false;           // an agent knows it as a suspect
   common::Duration last_pause{};  // in kDelayed
 
   // Only for non-idempotent requests.
@@ -138,6 +145,7 @@
   // Over all pools, as pools may be forgotten and come back.
   std::uint64_t demand_sequence = 0;
   common::TimePoint started;  // first event
+  common::PauseGuard pause;
   common::TimePoint heartbeat_sent;
   common::TimePoint shares_sent;
   std::uint64_t store_revision = 0;  // highest one seen
--- a/Source/Core/Wire/Fields.h
+++ b/Source/Core/Wire/Fields.h
@@ -22,8 +22,9 @@
 }
 auto Fields(MaybeConst<protocol::Heartbeat> auto& it) {
   return std::tie(it.role, it.data_centre, it.control, it.config_version,
-                  it.data, it.pool, it.upstream, it.state, it.free_slots,
-                  it.slot_limit, it.known_routers);
+                  it.sent, it.answers, it.leaving, it.data, it.pool,
+                  it.upstream, it.state, it.free_slots, it.slot_limit,
+                  it.known_routers);
 }
 auto Fields(MaybeConst<protocol::WorkspaceDemand> auto& it) {
   return std::tie(it.workspace, it.waiting, it.oldest_wait, it.urgency);
@@ -54,10 +55,11 @@
   return std::tie(it.request, it.begun);
 }
 auto Fields(MaybeConst<protocol::SuspectRow> auto& it) {
-  return std::tie(it.fingerprint, it.crashes, it.ban_left, it.age);
+  return std::tie(it.fingerprint, it.crashes, it.ban_left, it.age,
+                  it.crashed_at);
 }
 auto Fields(MaybeConst<protocol::Suspects> auto& it) {
-  return std::tie(it.rows);
+  return std::tie(it.crashed, it.rows);
 }
 auto Fields(MaybeConst<protocol::ConfigRequest> auto& it) {
   return std::tie(it.have);
--- a/Source/UnitTests/Core/Routing/RouterTest.cpp
+++ b/Source/UnitTests/Core/Routing/RouterTest.cpp
@@ -378,6 +378,67 @@
   BOOST_CHECK(refusals[4].verdict == Verdict::kMayHaveRun);
 }
 
+// Guards against work for an agent that was alive only before a pause of this
+// router.
+BOOST_AUTO_TEST_CASE(HeldBackHeartbeatsAreNotFresh) {
+  Fixture it;
+  it.Beat(kA, 5);
+  const auto beat = [&](std::uint64_t answers) {
+    it.Receive(kA, kFirst,
+               protocol::Heartbeat{.role = protocol::Role::kAgent,
+                                   .answers = answers,
+                                   .pool = kPool,
+                                   .free_slots = 5});
+  };
+  const std::uint64_t before = common::ToStamp(it.now);
+  it.now += seconds(2);
+  beat(before);
+  BOOST_CHECK(Only<DispatchRequest>(it.Arrive(1)).empty());
+  beat(common::ToStamp(it.now));
+  BOOST_CHECK_EQUAL(Only<DispatchRequest>(it.Arrive(2)).size(), 0);
+  BOOST_CHECK_EQUAL(Only<DispatchRequest>(it.Grant(kA, 1)).size(), 1);
+}
+
+// Guards against an agent that is not told that the host list names it.
+BOOST_AUTO_TEST_CASE(ListedAgentIsTold) {
+  Fixture it;
+  it.Beat(kA, 5);
+  it.Tick(milliseconds(250));
+  it.Send(HostsListed{.hosts = {{.process = kA, .leaving = true}}});
+  const auto beats = Sent<protocol::Heartbeat>(it.Tick());
+  BOOST_REQUIRE_EQUAL(beats.size(), 1);
+  BOOST_CHECK(beats.front().leaving);
+}
+
+// Guards against retries at the upstream that just failed while another one of
+// the pool is healthy, and against a request that waits for one when there is
+// none.
+BOOST_AUTO_TEST_CASE(RetryAvoidsTheUpstreamThatFailed) {
+  Fixture it;
+  it.Beat(kA, 9);
+  it.Beat(kB, 1);
+  const common::Refusal failed{.verdict = Verdict::kMayHaveRun,
+                               .reason = Reason::kUpstreamFailed};
+  it.Arrive(1);
+  const auto retried =
+      Only<DispatchRequest>(it.End(1, 1, DispatchOutcome::kRefused, failed));
+  BOOST_REQUIRE_EQUAL(retried.size(), 1);
+  BOOST_CHECK_EQUAL(retried.front().agent.value, kB.value);
+  it.Beat(kB, 0);
+  it.Arrive(2);
+  BOOST_CHECK(
+      Only<DispatchRequest>(it.End(2, 1, DispatchOutcome::kRefused, failed))
+          .empty());
+  BOOST_CHECK(Only<DispatchRequest>(it.Grant(kA, 1)).empty());
+  BOOST_CHECK_EQUAL(Only<DispatchRequest>(it.Grant(kB, 2)).size(), 1);
+  it.Beat(kB, 0, kFirst, protocol::AgentState::kUpstreamDown);
+  it.Arrive(3);
+  const auto alone =
+      Only<DispatchRequest>(it.End(3, 1, DispatchOutcome::kRefused, failed));
+  BOOST_REQUIRE_EQUAL(alone.size(), 1);
+  BOOST_CHECK_EQUAL(alone.front().agent.value, kA.value);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::routing::testing
--- a/Source/UnitTests/Core/Suspects/SuspectListTest.cpp
+++ b/Source/UnitTests/Core/Suspects/SuspectListTest.cpp
@@ -53,6 +53,70 @@
   BOOST_CHECK_EQUAL(list.suspects.at(kCulprit).crashes, 2);
 }
 
+// Guards against a harmless request that stays a suspect elsewhere after it
+// completed, and against a clearing that outlives a later crash.
+BOOST_AUTO_TEST_CASE(ClearingReachesPeers) {
+  SuspectList list;
+  SuspectList peer;
+  Merge(peer, NoteCrash(list, {kCulprit}, kStart, common::ProcessName("a")),
+        kStart);
+  BOOST_CHECK_EQUAL(CrashedAt(peer, kCulprit).size(), 1);
+  const protocol::Suspects cleared =
+      NoteCompleted(list, kCulprit, kStart + seconds(1));
+  BOOST_CHECK(Merge(peer, cleared, kStart + seconds(1)));
+  BOOST_CHECK(!Merge(peer, cleared, kStart + seconds(1)));
+  BOOST_CHECK(!IsSuspect(peer, kCulprit, kStart + seconds(1)));
+  BOOST_CHECK(CrashedAt(peer, kCulprit).empty());
+  NoteCrash(peer, {kCulprit}, kStart + seconds(3));
+  protocol::Suspects late = cleared;
+  late.rows.front().age = seconds(3);
+  BOOST_CHECK(!Merge(peer, late, kStart + seconds(4)));
+  BOOST_CHECK(IsSuspect(peer, kCulprit, kStart + seconds(4)));
+}
+
+// Guards against a third crash when the first two happened at the same time,
+// and against a ban because a report arrived twice.
+BOOST_AUTO_TEST_CASE(CrashesAtTheSameTimeAreCounted) {
+  const common::ProcessName a("a");
+  const common::ProcessName b("b");
+  SuspectList at_a;
+  SuspectList at_b;
+  const auto first = NoteCrash(at_a, {kCulprit, kOther}, kStart, a);
+  const auto second = NoteCrash(at_b, {kCulprit}, kStart, b);
+  SuspectList router;
+  Merge(router, first, kStart);
+  Merge(router, first, kStart);
+  BOOST_CHECK(!IsBanned(router, kCulprit, kStart));
+  BOOST_CHECK(Merge(router, second, kStart));
+  BOOST_CHECK(IsBanned(router, kCulprit, kStart));
+  BOOST_CHECK(!IsBanned(router, kOther, kStart));
+  Merge(at_a, second, kStart);
+  BOOST_CHECK(IsBanned(at_a, kCulprit, kStart));
+  // With two candidates in flight twice, neither is proven.
+  SuspectList at_c;
+  const auto third =
+      NoteCrash(at_c, {kCulprit, kOther}, kStart, common::ProcessName("c"));
+  SuspectList unsure;
+  Merge(unsure, first, kStart);
+  Merge(unsure, third, kStart);
+  BOOST_CHECK(!IsBanned(unsure, kCulprit, kStart));
+  BOOST_CHECK(!IsBanned(unsure, kOther, kStart));
+}
+
+// Guards against a suspect that is sent to an upstream which it crashed
+// according to another agent.
+BOOST_AUTO_TEST_CASE(CrashedAgentsAreMerged) {
+  SuspectList list;
+  Merge(list, NoteCrash(list, {kCulprit}, kStart, common::ProcessName("a")),
+        kStart);
+  SuspectList other;
+  const protocol::Suspects rows =
+      NoteCrash(other, {kCulprit}, kStart, common::ProcessName("b"));
+  BOOST_CHECK(Merge(list, rows, kStart));
+  BOOST_CHECK(!Merge(list, rows, kStart));
+  BOOST_CHECK_EQUAL(CrashedAt(list, kCulprit).size(), 2);
+}
+
 // Guards against a cleared suspect that a late report marks again.
 BOOST_AUTO_TEST_CASE(ReportFromBeforeTheClearingIsIgnored) {
   SuspectList list;
