Serve the queue from reported free slots and report it at once

Cause: one queued request made every later one queue too (FindFree), although agents had free slots, and demand was only sent from the tick. Calls then ran in batches of the demand interval.

Change: after each event the router sends queued requests to agents that reported free slots, smallest virtual time first, and reports changed queues at most every 20 ms. After "busy" only a new report or a grant serves the queue, so that a saturated agent is not asked for each slot that frees. An agent that was full reports free slots again within 100 ms. A lost attempt waits 20 ms before the next direct dispatch, as the report of a crash must arrive first.

DrainingRefusalIsNewsOfTheAgent expected a grant for a request that is now dispatched at once; RemovedPoolsAreForgotten counted reports per tick.

--- a/Source/Core/Admission/Agent.h
+++ b/Source/Core/Admission/Agent.h
@@ -36,6 +36,9 @@
   KeyTableOptions keys;
   suspects::SuspectOptions suspects;
   common::Duration heartbeat_interval = std::chrono::milliseconds(250);
+  // Least time between heartbeats when slots are on offer again after a report
+  // of none. Bounds the traffic of an agent that changes often between the two.
+  common::Duration reopen_interval = std::chrono::milliseconds(100);
   common::Duration shares_interval = std::chrono::milliseconds(200);
   common::Duration grant_timeout = std::chrono::milliseconds(500);
   common::Duration router_timeout = std::chrono::seconds(1);
@@ -169,6 +172,7 @@
   bool upstream_up = true;
   common::TimePoint probed;
   common::TimePoint heartbeat_sent;
+  bool reported_full = false;  // by the last heartbeat or refusal
   common::TimePoint shares_sent;
   bool draining = false;
   bool drain_reported = false;
--- a/Source/Core/Admission/Control.cpp
+++ b/Source/Core/Admission/Control.cpp
@@ -15,11 +15,21 @@
   return protocol::AgentState::kServing;
 }
 
-protocol::Heartbeat MakeHeartbeat(const AgentState& state) {
-  // Slots are not on offer for direct dispatch while others wait for them.
-  const protocol::AgentState serving = StateOf(state);
+// Slots are not on offer for direct dispatch while others wait for them.
+int SlotsOnOffer(const AgentState& state) {
   const bool open =
-      serving == protocol::AgentState::kServing && !HasDemand(state);
+      StateOf(state) == protocol::AgentState::kServing && !HasDemand(state);
+  return open ? std::max(0, FreeSlots(state)) : 0;
+}
+
+bool HeartbeatDue(const AgentState& state, common::TimePoint now) {
+  const bool reopened = state.reported_full && SlotsOnOffer(state) > 0;
+  return now - state.heartbeat_sent >= (reopened
+                                            ? state.options.reopen_interval
+                                            : state.options.heartbeat_interval);
+}
+
+protocol::Heartbeat MakeHeartbeat(const AgentState& state) {
   std::vector<protocol::PeerAddress> routers;
   for (const auto& [name, peer] : state.routers) {
     if (peer.control == common::Endpoint()) continue;
@@ -32,8 +42,8 @@
           .data = state.options.data,
           .pool = state.options.pool,
           .upstream = state.options.upstream,
-          .state = serving,
-          .free_slots = open ? std::max(0, FreeSlots(state)) : 0,
+          .state = StateOf(state),
+          .free_slots = SlotsOnOffer(state),
           .slot_limit = Slots(state.limit),
           .known_routers = std::move(routers)};
 }
@@ -169,6 +179,7 @@
   AgentState& state = context.state;
   state.heartbeat_sent = context.now;
   const protocol::Heartbeat heartbeat = MakeHeartbeat(state);
+  state.reported_full = heartbeat.free_slots == 0;
   SendToRouters(context, heartbeat);
   for (const auto& [name, learnt] : state.learnt_routers) {
     if (state.routers.contains(name)) continue;
@@ -225,9 +236,7 @@
   MeasureShareRate(context);
   // Before the heartbeat, which reports the slots that are left.
   FillSlots(context);
-  if (context.now - state.heartbeat_sent >= state.options.heartbeat_interval) {
-    SendHeartbeats(context);
-  }
+  if (HeartbeatDue(state, context.now)) SendHeartbeats(context);
   SendShares(context);
   ProbeIfDown(context);
   CheckDrain(context);
--- a/Source/Core/Admission/Offers.cpp
+++ b/Source/Core/Admission/Offers.cpp
@@ -162,7 +162,10 @@
   const int bound =
       static_cast<int>(state.waiting.size()) - state.waiting_granted;
   const bool may_wait = granted || (keyed && bound < state.options.max_waiting);
-  if (!may_wait) return RejectNotRun(context, attempt, Reason::kBusy);
+  if (!may_wait) {
+    state.reported_full = true;
+    return RejectNotRun(context, attempt, Reason::kBusy);
+  }
   AddWaiting(context, std::move(attempt));
 }
 
--- a/Source/Core/Routing/AgentTable.cpp
+++ b/Source/Core/Routing/AgentTable.cpp
@@ -101,7 +101,8 @@
     const bool refused =
         isolation.suspect && (agent->second.suspects_in_flight > 0 ||
                               agent->first == isolation.avoid);
-    if (!refused) return &agent->first;
+    const bool unsure = isolation.reported_only && agent->second.contended;
+    if (!refused && !unsure) return &agent->first;
   }
   return nullptr;
 }
@@ -136,6 +137,7 @@
     it.upstream = heartbeat.upstream;
     it.state = heartbeat.state;
     it.free_slots = heartbeat.free_slots;
+    if (heartbeat.free_slots > 0) it.contended = false;
     it.last_heard = now;
     it.silent = false;
     it.alive = true;
@@ -201,7 +203,10 @@
 void NoteBusy(AgentTable& table, const common::ProcessName& name) {
   const auto it = table.agents.find(name);
   if (it == table.agents.end()) return;
-  Update(table, name, it->second, [](Agent& agent) { agent.free_slots = 0; });
+  Update(table, name, it->second, [](Agent& agent) {
+    agent.free_slots = 0;
+    agent.contended = true;
+  });
 }
 
 void NoteState(AgentTable& table, const common::ProcessName& name,
--- a/Source/Core/Routing/AgentTable.h
+++ b/Source/Core/Routing/AgentTable.h
@@ -43,6 +43,9 @@
   common::UpstreamName upstream;
   protocol::AgentState state = protocol::AgentState::kServing;
   int free_slots = 0;  // last report, less what was dispatched since
+  // It answered "busy" since its last report of a free slot: others wait there,
+  // and a slot that frees is probably granted to one of them.
+  bool contended = false;
   common::TimePoint last_heard;
   bool leaving = false;  // by the platform's host list
   bool silent = false;   // by the last check or choice
@@ -78,6 +81,8 @@
 struct Isolation {
   bool suspect = false;
   common::ProcessName avoid;  // the agent that refused it last
+  // Passes over agents whose free slots may be wanted by others.
+  bool reported_only = false;
 };
 
 // What changed by a heartbeat.
--- a/Source/Core/Routing/Control.cpp
+++ b/Source/Core/Routing/Control.cpp
@@ -99,27 +99,6 @@
   }
 };
 
-void SendDemand(Context& context) {
-  const RouterOptions& options = context.state.options;
-  for (auto& [name, pool] : context.state.pools) {
-    const common::Duration age = context.now - pool.demand_sent;
-    const bool due = pool.demand_changed ? age >= options.demand_interval
-                                         : pool.queue.waiting > 0 &&
-                                               age >= options.demand_refresh;
-    if (!due) continue;
-    pool.demand_changed = false;
-    pool.demand_sent = context.now;
-    const protocol::Demand demand{
-        .pool = name,
-        .sequence = ++context.state.demand_sequence,
-        .workspaces = SummariseDemand(pool.queue, context.now)};
-    for (const auto& [agent_name, agent] : context.state.agents.agents) {
-      if (agent.pool != name || !agent.alive) continue;
-      context.Do(SendMessage{.to = agent_name, .body = demand});
-    }
-  }
-}
-
 void SendHeartbeat(Context& context) {
   RouterState& state = context.state;
   if (context.now - state.heartbeat_sent < state.options.heartbeat_interval) {
@@ -180,6 +159,27 @@
 
 }  // namespace
 
+void SendDemand(Context& context) {
+  const RouterOptions& options = context.state.options;
+  for (auto& [name, pool] : context.state.pools) {
+    const common::Duration age = context.now - pool.demand_sent;
+    const bool due = pool.demand_changed ? age >= options.demand_interval
+                                         : pool.queue.waiting > 0 &&
+                                               age >= options.demand_refresh;
+    if (!due) continue;
+    pool.demand_changed = false;
+    pool.demand_sent = context.now;
+    const protocol::Demand demand{
+        .pool = name,
+        .sequence = ++context.state.demand_sequence,
+        .workspaces = SummariseDemand(pool.queue, context.now)};
+    for (const auto& [agent_name, agent] : context.state.agents.agents) {
+      if (agent.pool != name || !agent.alive) continue;
+      context.Do(SendMessage{.to = agent_name, .body = demand});
+    }
+  }
+}
+
 void OnMessage(Context& context, const protocol::Envelope& envelope) {
   std::visit(MessageHandler{context, envelope}, envelope.body);
 }
@@ -189,6 +189,11 @@
   if (config.version <= context.state.config.version) return;
   RouterState& state = context.state;
   state.config = config;
+  for (const auto& [pool, pool_config] : config.pools) {
+    for (const auto& [workspace, it] : config.workspaces) {
+      fairness::SetWeight(state.ledger, {pool, workspace}, it.weight);
+    }
+  }
   for (auto& [name, pool] : state.pools) {
     ForgetIdle(pool.queue, [&](const common::WorkspaceName& workspace) {
       return config.workspaces.contains(workspace);
@@ -213,7 +218,6 @@
   suspects::Expire(context.state.suspects, context.now);
   SendHeartbeat(context);
   SendShares(context);
-  SendDemand(context);
   CheckDrain(context);
 }
 
--- a/Source/Core/Routing/Dispatching.cpp
+++ b/Source/Core/Routing/Dispatching.cpp
@@ -136,6 +136,34 @@
   return isolated;
 }
 
+// A lost attempt may have crashed its upstream. The agent's report must arrive
+// before the next attempt, or that one ignores what is suspected.
+bool PauseAfterLoss(Context& context, Request& request) {
+  if (!request.may_have_run || request.paused_attempt == request.attempt) {
+    return false;
+  }
+  request.paused_attempt = request.attempt;
+  Delay(context, request);
+  return true;
+}
+
+// The workspace with the smallest virtual time among those with requests
+// queued.
+common::WorkspaceName NextWorkspace(const RouterState& state,
+                                    const common::PoolName& name,
+                                    const WorkQueue& queue) {
+  const common::WorkspaceName* best = nullptr;
+  double best_time = 0;
+  for (const auto& [workspace, it] : queue.workspaces) {
+    if (it.waiting == 0) continue;
+    const double time = fairness::VirtualTime(state.ledger, {name, workspace});
+    if (best != nullptr && time >= best_time) continue;
+    best = &workspace;
+    best_time = time;
+  }
+  return *best;
+}
+
 }  // namespace
 
 void ReturnGrant(Context& context, Request& request) {
@@ -230,6 +258,24 @@
   }
 }
 
+void DispatchQueued(Context& context) {
+  RouterState& state = context.state;
+  for (auto& [name, pool] : state.pools) {
+    while (pool.queue.waiting > 0) {
+      const common::ProcessName* free =
+          ChooseFree(state.agents, name, {.reported_only = true}, context.now);
+      if (free == nullptr) break;
+      const auto next =
+          Pop(pool.queue, NextWorkspace(state, name, pool.queue), context.now);
+      pool.demand_changed = true;
+      Request& request = state.requests.at(next->id);
+      if (HoldBack(context, request, state.agents.agents.at(*free))) continue;
+      if (PauseAfterLoss(context, request)) continue;
+      DispatchTo(context, request, *free, common::GrantId::kNone);
+    }
+  }
+}
+
 void DispatchToOwner(Context& context, Request& request) {
   // Another router may have read the binding, even one that this request wrote
   // a moment ago, and dispatched by it: only the owner could tell.
--- a/Source/Core/Routing/Internal.h
+++ b/Source/Core/Routing/Internal.h
@@ -38,6 +38,9 @@
 void Resume(Context& context, Request& request);
 // Gives up the requests of pools that no agent serves for too long.
 void RefuseStranded(Context& context);
+// Sends queued requests to known free slots, workspaces with the smallest
+// virtual time first.
+void DispatchQueued(Context& context);
 // Takes the request out of the queue, if it is queued.
 void Dequeue(Context& context, const Request& request);
 void DispatchToOwner(Context& context, Request& request);
@@ -77,6 +80,8 @@
 void OnMessage(Context& context, const protocol::Envelope& envelope);
 void OnConfig(Context& context, const config::FleetConfig& config);
 void OnTick(Context& context);
+// Reports the queues that changed, at most once per `demand_interval`.
+void SendDemand(Context& context);
 
 void Log(Context& context, const Request& request, std::string_view decision,
          std::string_view cause);
--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -76,6 +76,8 @@
   Context context{.state = state, .now = now, .actions = *actions};
   if (state.started == common::TimePoint()) state.started = now;
   std::visit(EventHandler{context}, event);
+  internal::DispatchQueued(context);
+  internal::SendDemand(context);
 }
 
 namespace internal {
--- a/Source/Core/Routing/Router.h
+++ b/Source/Core/Routing/Router.h
@@ -88,7 +88,8 @@
   // non-idempotent request overrules that.
   bool may_have_run = false;
   bool response_started = false;
-  common::ProcessName agent;  // of the current attempt
+  std::uint32_t paused_attempt = 0;  // last one after which it was held back
+  common::ProcessName agent;         // of the current attempt
   common::GrantId grant = common::GrantId::kNone;
   bool suspect = false;           // the current attempt runs isolated
   common::ProcessName avoid;      // refused it as a suspect
--- a/Source/UnitTests/Core/Routing/RouterTest.cpp
+++ b/Source/UnitTests/Core/Routing/RouterTest.cpp
@@ -44,9 +44,10 @@
   it.Beat(kA, 5);
   it.Beat(kB, 1);
   it.Arrive(1);
-  it.RefuseNotRun(1, 1, Reason::kDraining);
-  const auto next = Only<DispatchRequest>(it.Grant(kB, 9));
+  const auto next =
+      Only<DispatchRequest>(it.RefuseNotRun(1, 1, Reason::kDraining));
   BOOST_REQUIRE_EQUAL(next.size(), 1);
+  BOOST_CHECK_EQUAL(next.front().agent.value, kB.value);
   it.Beat(kB, 1);
   const auto second = Only<DispatchRequest>(it.Arrive(2));
   BOOST_REQUIRE_EQUAL(second.size(), 1);
@@ -276,7 +277,8 @@
   it.Send(CallerLeft{.id = it.Id(1)});
   it.Tick();
   const std::uint64_t sequence = it.router.demand_sequence;
-  BOOST_CHECK_EQUAL(sequence, 2);
+  // To the agent that joined, of the arrival and of its end.
+  BOOST_CHECK_EQUAL(sequence, 3);
   config::FleetConfig config;
   config.version = static_cast<common::ConfigVersion>(2);
   it.Send(ConfigReceived{.config = config});
@@ -288,12 +290,99 @@
   config.version = static_cast<common::ConfigVersion>(3);
   it.Send(ConfigReceived{.config = config});
   it.Beat(kA, 0);
-  it.Arrive(2);
-  const auto demand = Sent<protocol::Demand>(it.Tick());
+  const auto demand = Sent<protocol::Demand>(it.Arrive(2));
   BOOST_REQUIRE_EQUAL(demand.size(), 1);
   BOOST_CHECK_EQUAL(demand.front().sequence, sequence + 1);
 }
 
+// Guards against a queue that waits for the next tick to be reported, and
+// against more reports than one per interval.
+BOOST_AUTO_TEST_CASE(DemandIsReportedAtOnceButNotOften) {
+  Fixture it;
+  it.Beat(kA, 0);
+  it.now += milliseconds(20);
+  const auto first = Sent<protocol::Demand>(it.Arrive(1));
+  BOOST_REQUIRE_EQUAL(first.size(), 1);
+  BOOST_CHECK_EQUAL(first.front().workspaces.size(), 1);
+  BOOST_CHECK(Sent<protocol::Demand>(it.Arrive(2)).empty());
+  BOOST_CHECK(Sent<protocol::Demand>(it.Tick(milliseconds(10))).empty());
+  const auto second = Sent<protocol::Demand>(it.Tick(milliseconds(10)));
+  BOOST_REQUIRE_EQUAL(second.size(), 1);
+  BOOST_CHECK_EQUAL(second.front().workspaces.front().waiting, 2);
+}
+
+// Guards against requests that stay queued although slots are free: one queued
+// request made all later ones wait for the next demand message.
+BOOST_AUTO_TEST_CASE(FreeSlotsServeTheQueue) {
+  Fixture it;
+  it.Beat(kA, 1);
+  it.Arrive(1);
+  BOOST_CHECK(Only<DispatchRequest>(it.Arrive(2)).empty());
+  const auto next =
+      Only<DispatchRequest>(it.End(1, 1, DispatchOutcome::kCompleted));
+  BOOST_REQUIRE_EQUAL(next.size(), 1);
+  BOOST_CHECK(next.front().id == it.Id(2));
+  it.Arrive(3);
+  it.Arrive(4);
+  BOOST_CHECK_EQUAL(Only<DispatchRequest>(it.Beat(kA, 2)).size(), 2);
+}
+
+// Guards against a direct dispatch for every slot that frees while others wait
+// for it: the agent would refuse each of them.
+BOOST_AUTO_TEST_CASE(BusyAgentGetsNoDirectDispatchUntilItReportsSlots) {
+  Fixture it;
+  it.Beat(kA, 3);
+  for (int i = 1; i <= 3; ++i) it.Arrive(i);
+  it.RefuseNotRun(1, 1, Reason::kBusy);
+  BOOST_CHECK(
+      Only<DispatchRequest>(it.End(2, 1, DispatchOutcome::kCompleted)).empty());
+  BOOST_CHECK(Only<DispatchRequest>(it.Beat(kA, 0)).empty());
+  BOOST_CHECK(
+      Only<DispatchRequest>(it.End(3, 1, DispatchOutcome::kCompleted)).empty());
+  BOOST_CHECK_EQUAL(Only<DispatchRequest>(it.Beat(kA, 1)).size(), 1);
+}
+
+// Guards against a queue that is served by arrival alone, which lets the
+// workspace with the most requests take the free slots.
+BOOST_AUTO_TEST_CASE(FreeSlotsGoToTheSmallestVirtualTime) {
+  Fixture it;
+  const common::WorkspaceName other("other");
+  config::FleetConfig config = MakeConfig();
+  config.version = static_cast<common::ConfigVersion>(2);
+  config.workspaces[other] = {.weight = 4, .kinds = {kChat}};
+  it.Send(ConfigReceived{.config = config});
+  it.Beat(kA, 0);
+  protocol::Shares shares;
+  shares.rows = {
+      {.writer = kFirst,
+       .pool = kPool,
+       .workspace = kWorkspace,
+       .charged = 100},
+      {.writer = kFirst, .pool = kPool, .workspace = other, .charged = 300}};
+  it.Receive(kA, kFirst, shares);
+  it.Arrive(1);
+  it.Send(RequestArrived{
+      .id = it.Id(2), .workspace = other, .kind = kChat, .body_bytes = 10});
+  const auto next = Only<DispatchRequest>(it.Beat(kA, 1));
+  BOOST_REQUIRE_EQUAL(next.size(), 1);
+  BOOST_CHECK(next.front().id == it.Id(2));
+}
+
+// Guards against a lost request that is sent on before the agent's report of a
+// crash can arrive.
+BOOST_AUTO_TEST_CASE(LostRequestIsNotSentOnAtOnce) {
+  Fixture it;
+  it.Beat(kA, 1);
+  it.Arrive(1);
+  it.Beat(kB, 1);
+  BOOST_CHECK(
+      Only<DispatchRequest>(it.End(1, 1, DispatchOutcome::kLost)).empty());
+  BOOST_CHECK(Only<DispatchRequest>(it.Tick(milliseconds(19))).empty());
+  const auto next = Only<DispatchRequest>(it.Tick(milliseconds(1)));
+  BOOST_REQUIRE_EQUAL(next.size(), 1);
+  BOOST_CHECK_EQUAL(next.front().agent.value, kB.value);
+}
+
 // Guards against a drain that loses queued work, takes new work, or ends
 // before everything is answered.
 BOOST_AUTO_TEST_CASE(DrainServesWhatIsQueued) {
