Run the actors under the work-sharing scheduler

Cause: an idle worker of CAF's work-stealing scheduler polls with short sleeps; a profile of an idle agent had 58% of its samples in clock_nanosleep, called by the thread of the only actor. One worker has nobody to steal from.

Change: the work-sharing policy, under which the worker waits on a condition.

--- a/Source/Core/Runtime/AgentProcess.cpp
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -82,6 +82,8 @@
   ProcessHost host(settings.threads);
   caf::actor_system_config actor_config;
   actor_config.set("scheduler.max-threads", 1);
+  // One worker has nobody to steal from, and stealing polls.
+  actor_config.set("scheduler.policy", caf::atom("sharing"));
   caf::actor_system actors(actor_config);
   transport::HttpClient client(host.Context());
 
