--- a/Source/Core/Admission/Agent.h
+++ b/Source/Core/Admission/Agent.h
@@ -40,6 +40,9 @@
   // of none. Bounds the traffic of an agent that changes often between the two.
   common::Duration reopen_interval = std::chrono::milliseconds(100);
   common::Duration shares_interval = std::chrono::milliseconds(200);
+  // Rows of other agents are passed on this rarely: routers hear them from
+  // their writers, except routers that are cut off from one.
+  common::Duration relay_interval = std::chrono::seconds(5);
   common::Duration grant_timeout = std::chrono::milliseconds(500);
   common::Duration router_timeout = std::chrono::seconds(1);
   common::Duration probe_interval = std::chrono::milliseconds(500);
@@ -174,6 +177,11 @@
   common::TimePoint heartbeat_sent;
   bool reported_full = false;  // by the last heartbeat or refusal
   common::TimePoint shares_sent;
+  // Latest rows of other agents that are yet to be passed on.
+  std::map<std::pair<fairness::ShareKey, common::Incarnation>,
+           protocol::ShareRow>
+      relayed;
+  common::TimePoint relayed_sent;
   bool draining = false;
   bool drain_reported = false;
   common::TimePoint drain_started;
--- a/Source/Core/Routing/Control.cpp
+++ b/Source/Core/Routing/Control.cpp
@@ -190,8 +190,8 @@
   RouterState& state = context.state;
   state.config = config;
   for (const auto& [pool, pool_config] : config.pools) {
-    for (const auto& [workspace, it] : config.workspaces) {
-      fairness::SetWeight(state.ledger, {pool, workspace}, it.weight);
+    for (const auto& [name, workspace] : config.workspaces) {
+      fairness::SetWeight(state.ledger, {pool, name}, workspace.weight);
     }
   }
   for (auto& [name, pool] : state.pools) {
