--- a/Source/Core/Admission/Control.cpp
+++ b/Source/Core/Admission/Control.cpp
@@ -15,12 +15,22 @@
   return protocol::AgentState::kServing;
 }
 
+// Slots are not on offer for direct dispatch while others wait for them.
+int SlotsOnOffer(const AgentState& state) {
+  const bool open =
+      StateOf(state) == protocol::AgentState::kServing && !HasDemand(state);
+  return open ? std::max(0, FreeSlots(state)) : 0;
+}
+
+bool HeartbeatDue(const AgentState& state, common::TimePoint now) {
+  const bool reopened = state.reported_full && SlotsOnOffer(state) > 0;
+  return now - state.heartbeat_sent >= (reopened
+                                            ? state.options.reopen_interval
+                                            : state.options.heartbeat_interval);
+}
+
 protocol::Heartbeat MakeHeartbeat(const AgentState& state,
                                   common::TimePoint now) {
-  // Slots are not on offer for direct dispatch while others wait for them.
-  const protocol::AgentState serving = StateOf(state);
-  const bool open =
-      serving == protocol::AgentState::kServing && !HasDemand(state);
   std::vector<protocol::PeerAddress> routers;
   for (const auto& [name, peer] : state.routers) {
     if (peer.control == common::Endpoint()) continue;
@@ -34,8 +44,8 @@
           .data = state.options.data,
           .pool = state.options.pool,
           .upstream = state.options.upstream,
-          .state = serving,
-          .free_slots = open ? std::max(0, FreeSlots(state)) : 0,
+          .state = StateOf(state),
+          .free_slots = SlotsOnOffer(state),
           .slot_limit = Slots(state.limit),
           .known_routers = std::move(routers)};
 }
@@ -194,6 +204,7 @@
   AgentState& state = context.state;
   state.heartbeat_sent = context.now;
   protocol::Heartbeat heartbeat = MakeHeartbeat(state, context.now);
+  state.reported_full = heartbeat.free_slots == 0;
   const auto send = [&](const common::ProcessName& name,
                         const common::Endpoint& control) {
     const auto stamp = state.router_stamps.find(control);
@@ -264,9 +275,7 @@
   if (!HearsRouters(state)) ReturnWaiting(context, common::Reason::kBusy);
   // Before the heartbeat, which reports the slots that are left.
   FillSlots(context);
-  if (context.now - state.heartbeat_sent >= state.options.heartbeat_interval) {
-    SendHeartbeats(context);
-  }
+  if (HeartbeatDue(state, context.now)) SendHeartbeats(context);
   SendShares(context);
   ProbeIfDown(context);
   CheckDrain(context);
--- a/Source/Core/Admission/Offers.cpp
+++ b/Source/Core/Admission/Offers.cpp
@@ -183,7 +183,10 @@
   const bool only_here = keyed || attempt.suspect;
   const bool may_wait =
       granted || (only_here && bound < state.options.max_waiting);
-  if (!may_wait) return RejectNotRun(context, attempt, Reason::kBusy);
+  if (!may_wait) {
+    state.reported_full = true;
+    return RejectNotRun(context, attempt, Reason::kBusy);
+  }
   AddWaiting(context, std::move(attempt));
 }
 
--- a/Source/Core/Routing/AgentTable.cpp
+++ b/Source/Core/Routing/AgentTable.cpp
@@ -84,10 +84,11 @@
   agent.incarnation = incarnation;
 }
 
-const common::ProcessName* ChooseFrom(
-    AgentTable& table, const common::PoolName& pool,
-    PoolAgents::FreeList PoolAgents::*list, common::TimePoint now,
-    const std::set<common::ProcessName>& avoid) {
+const common::ProcessName* ChooseFrom(AgentTable& table,
+                                      const common::PoolName& pool,
+                                      PoolAgents::FreeList PoolAgents::*list,
+                                      common::TimePoint now,
+                                      const Exclusion& exclusion) {
   const auto members = table.pools.find(pool);
   if (members == table.pools.end()) return nullptr;
   const PoolAgents::FreeList& free = members->second.*list;
@@ -99,7 +100,9 @@
              [](Agent& silent) { silent.silent = true; });
       continue;
     }
-    if (!avoid.contains(agent->first)) return &agent->first;
+    const bool excluded = exclusion.agents.contains(agent->first) ||
+                          (exclusion.contended && agent->second.contended);
+    if (!excluded) return &agent->first;
   }
   return nullptr;
 }
@@ -134,6 +137,7 @@
     it.upstream = heartbeat.upstream;
     it.state = heartbeat.state;
     it.free_slots = heartbeat.free_slots;
+    if (heartbeat.free_slots > 0) it.contended = false;
     it.last_heard = now;
     it.last_sent = heartbeat.sent;
     it.silent = false;
@@ -155,13 +159,14 @@
   return it != table.agents.end() && it->second.incarnation == incarnation;
 }
 
-const common::ProcessName* ChooseFree(
-    AgentTable& table, const common::PoolName& pool, common::TimePoint now,
-    const std::set<common::ProcessName>& avoid) {
+const common::ProcessName* ChooseFree(AgentTable& table,
+                                      const common::PoolName& pool,
+                                      common::TimePoint now,
+                                      const Exclusion& exclusion) {
   const common::ProcessName* here =
-      ChooseFrom(table, pool, &PoolAgents::free_here, now, avoid);
+      ChooseFrom(table, pool, &PoolAgents::free_here, now, exclusion);
   if (here != nullptr) return here;
-  return ChooseFrom(table, pool, &PoolAgents::free, now, avoid);
+  return ChooseFrom(table, pool, &PoolAgents::free, now, exclusion);
 }
 
 bool HasOther(const AgentTable& table, const common::PoolName& pool,
@@ -228,7 +233,10 @@
 void NoteBusy(AgentTable& table, const common::ProcessName& name) {
   const auto it = table.agents.find(name);
   if (it == table.agents.end()) return;
-  Update(table, name, it->second, [](Agent& agent) { agent.free_slots = 0; });
+  Update(table, name, it->second, [](Agent& agent) {
+    agent.free_slots = 0;
+    agent.contended = true;
+  });
 }
 
 void NoteState(AgentTable& table, const common::ProcessName& name,
--- a/Source/Core/Routing/AgentTable.h
+++ b/Source/Core/Routing/AgentTable.h
@@ -43,6 +43,9 @@
   common::UpstreamName upstream;
   protocol::AgentState state = protocol::AgentState::kServing;
   int free_slots = 0;  // last report, less what was dispatched since
+  // It answered "busy" since its last report of a free slot: others wait there,
+  // and a slot that frees is probably granted to one of them.
+  bool contended = false;
   common::TimePoint last_heard;
   std::uint64_t last_sent = 0;  // by its clock, in the last heartbeat
   bool leaving = false;         // by the platform's host list
@@ -75,6 +78,13 @@
   std::set<common::ProcessName> leaving;
 };
 
+// Agents that a choice passes over.
+struct Exclusion {
+  std::set<common::ProcessName> agents;
+  // Those whose free slots are probably granted to others already.
+  bool contended = false;
+};
+
 // What changed by a heartbeat.
 struct HeartbeatEffect {
   bool ignored = false;  // from a replaced incarnation
@@ -99,9 +109,10 @@
 
 // The eligible agent with the most free slots, or nullptr. Agents in the
 // router's own data centre are preferred.
-const common::ProcessName* ChooseFree(
-    AgentTable& table, const common::PoolName& pool, common::TimePoint now,
-    const std::set<common::ProcessName>& avoid = {});
+const common::ProcessName* ChooseFree(AgentTable& table,
+                                      const common::PoolName& pool,
+                                      common::TimePoint now,
+                                      const Exclusion& exclusion = {});
 
 // Whether the pool has an eligible agent that is not in `avoid`.
 bool HasOther(const AgentTable& table, const common::PoolName& pool,
--- a/Source/Core/Routing/Dispatching.cpp
+++ b/Source/Core/Routing/Dispatching.cpp
@@ -120,8 +120,8 @@
 const common::ProcessName* FindFree(Context& context, const Request& request) {
   RouterState& state = context.state;
   if (PoolOf(context, request).queue.waiting > 0) return nullptr;
-  const common::ProcessName* free =
-      ChooseFree(state.agents, request.pool, context.now, request.failed_at);
+  const common::ProcessName* free = ChooseFree(
+      state.agents, request.pool, context.now, {.agents = request.failed_at});
   if (free != nullptr || MustAvoidFailed(context, request)) return free;
   return ChooseFree(state.agents, request.pool, context.now);
 }
@@ -175,6 +175,34 @@
   return !here;
 }
 
+// A lost attempt may have crashed its upstream. The agent's report must arrive
+// before the next attempt, or that one ignores what is suspected.
+bool PauseAfterLoss(Context& context, Request& request) {
+  if (!request.may_have_run || request.paused_attempt == request.attempt) {
+    return false;
+  }
+  request.paused_attempt = request.attempt;
+  Delay(context, request);
+  return true;
+}
+
+// The workspace with the smallest virtual time among those with requests
+// queued.
+common::WorkspaceName NextWorkspace(const RouterState& state,
+                                    const common::PoolName& name,
+                                    const WorkQueue& queue) {
+  const common::WorkspaceName* best = nullptr;
+  double best_time = 0;
+  for (const auto& [workspace, it] : queue.workspaces) {
+    if (it.waiting == 0) continue;
+    const double time = fairness::VirtualTime(state.ledger, {name, workspace});
+    if (best != nullptr && time >= best_time) continue;
+    best = &workspace;
+    best_time = time;
+  }
+  return *best;
+}
+
 }  // namespace
 
 void ReturnGrant(Context& context, Request& request) {
@@ -279,6 +307,37 @@
   }
 }
 
+void DispatchQueued(Context& context) {
+  RouterState& state = context.state;
+  std::vector<common::RequestId> kept;
+  for (auto& [name, pool] : state.pools) {
+    while (pool.queue.waiting > 0) {
+      const common::ProcessName* free =
+          ChooseFree(state.agents, name, context.now, {.contended = true});
+      if (free == nullptr) break;
+      const auto next =
+          Pop(pool.queue, NextWorkspace(state, name, pool.queue), context.now);
+      pool.demand_changed = true;
+      Request& request = state.requests.at(next->id);
+      if (HoldBack(context, request, *free)) continue;
+      if (MustAvoidFailed(context, request)) {
+        free = ChooseFree(state.agents, name, context.now,
+                          {.agents = request.failed_at, .contended = true});
+      }
+      if (free == nullptr) {
+        kept.push_back(request.id);
+        continue;
+      }
+      if (PauseAfterLoss(context, request)) continue;
+      DispatchTo(context, request, *free, common::GrantId::kNone);
+    }
+  }
+  // They wait for a slot at an agent that has not failed them.
+  for (const common::RequestId id : kept) {
+    Enqueue(context, state.requests.at(id));
+  }
+}
+
 void DispatchToOwner(Context& context, Request& request) {
   // Another router may have read the binding, even one that this request wrote
   // a moment ago, and dispatched by it: only the owner could tell.
--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -81,6 +81,8 @@
   if (state.started == common::TimePoint()) state.started = now;
   common::NoteEvent(state.pause, now);
   std::visit(EventHandler{context}, event);
+  internal::DispatchQueued(context);
+  internal::SendDemand(context);
 }
 
 namespace internal {
