Run scenarios against real processes

Cause: the scenarios ran the decision code over fakes with a fake clock. Sockets, signals, process ends and the HTTP code were proved by load runs only.

Change: test ProcessScenarios reads the same language (dialect for processes: wait, terminate, race, keyed floods) and drives a platform stand-in, routers, agents and engine stand-ins through Load/Fleet. Every send carries its own tag; the engine stand-in records key, tag and begin of each run (GET /runs) and names the run in streamed tokens on request, so that the checks need no clock of the fleet.

--- a/Source/TestTools/EngineStandIn/Engine.cpp
+++ b/Source/TestTools/EngineStandIn/Engine.cpp
@@ -47,6 +47,7 @@
 void Engine::Handle(const Exchange& exchange) {
   const std::string& target = exchange->Request().target;
   if (target == "/counts") return SendCounts(exchange);
+  if (target == "/runs") return SendJson(exchange, runs_);
   if (target == "/faults") return SetFaults(exchange);
   if (faults_.hang) {
     held_.push_back(exchange);
@@ -101,6 +102,9 @@
           .tag = request.value("tag", ""),
           .stream = request.value("stream", false),
           .crash = prompt.find(options_.crash_mark) != std::string::npos,
+          .run = request.value("name_run", false)
+                     ? fmt::format("{}-{}", options_.seed, begun_)
+                     : "",
           .tokens = std::clamp(request.value("max_tokens", 16), 1, kMaxTokens),
           .prompt_tokens = TokensIn(prompt),
           .timer = boost::asio::steady_timer(context_)});
@@ -150,10 +154,15 @@
   ++begun_;
   job->running = true;
   const ModelOptions& model = options_.model;
+  const std::string key = Header(job->exchange, runtime::kIdempotencyKeyHeader);
+  if (!key.empty()) {
+    ++runs_by_key_[key];
+    const auto begun = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Clock::now().time_since_epoch());
+    runs_.push_back(
+        {{"key", key}, {"tag", job->tag}, {"begun_ms", begun.count()}});
+  }
   if (job->plain) {
-    const std::string key =
-        Header(job->exchange, runtime::kIdempotencyKeyHeader);
-    if (!key.empty()) ++runs_by_key_[key];
     service_[job->workspace] += 1;
     return After(job, model.call, &Engine::FinishCall);
   }
@@ -184,9 +193,11 @@
 void Engine::NextToken(const JobPtr& job) {
   service_[job->workspace] += 1;
   if (job->stream) {
+    const std::string run =
+        job->run.empty() ? "" : fmt::format(",\"run\":\"{}\"", job->run);
     job->exchange->Write(
-        fmt::format("data: {{\"choices\":[{{\"text\":\"t{} \"}}]}}\n\n",
-                    job->sent),
+        fmt::format("data: {{\"choices\":[{{\"text\":\"t{} \"}}]{}}}\n\n",
+                    job->sent, run),
         nullptr);
   }
   ++job->sent;
--- a/Source/TestTools/EngineStandIn/Engine.h
+++ b/Source/TestTools/EngineStandIn/Engine.h
@@ -37,7 +37,8 @@
 };
 
 // Stand-in for a model engine (POST /v1/completions, streamed or whole) and for
-// a plain service (POST /v1/call). GET /counts, /load and /health report on it.
+// a plain service (POST /v1/call). GET /counts, /load and /health report on it;
+// GET /runs lists key, tag and begin (steady clock) of each run with a key.
 // Used by one thread.
 class Engine {
  public:
@@ -58,8 +59,9 @@
     bool crash = false;
     bool running = false;
     bool ended = false;
-    int tokens = 0;  // to generate in all
-    int sent = 0;    // tokens generated or resumed from
+    std::string run;  // sent with each token if the request asks "name_run"
+    int tokens = 0;   // to generate in all
+    int sent = 0;     // tokens generated or resumed from
     int resumed_from = 0;
     std::size_t prompt_tokens = 0;
     std::size_t cached_tokens = 0;
@@ -111,6 +113,7 @@
   // Cost units: prompt tokens / 8 + generated tokens, or one for a call.
   std::map<std::string, double> service_;
   std::map<std::string, int> runs_by_key_;
+  nlohmann::json runs_ = nlohmann::json::array();  // of requests with keys
 };
 
 }  // namespace shallotbeam::engine_stand_in
--- a/Source/TestTools/Fakes/Scenario.cpp
+++ b/Source/TestTools/Fakes/Scenario.cpp
@@ -55,6 +55,22 @@
   return verbs;
 }
 
+// Steps and options that only processes know.
+const std::map<std::string, Grammar>& ProcessVerbs() {
+  static const std::map<std::string, Grammar> verbs = [] {
+    std::map<std::string, Grammar> all = Verbs();
+    all["send"].options.insert("stream");
+    all["flood"].options.insert({"key", "ticket", "again", "stream"});
+    all["terminate"] = {1, {}, {}, true};
+    all["race"] = {0};
+    for (const char* it : {"cut", "heal", "drain", "disconnect"}) {
+      all.erase(it);
+    }
+    return all;
+  }();
+  return verbs;
+}
+
 // Number of words after each subject of `expect`.
 const std::map<std::string, std::size_t>& Expectations() {
   static const std::map<std::string, std::size_t> expectations = {
@@ -70,6 +86,26 @@
   return expectations;
 }
 
+const std::map<std::string, std::size_t>& ProcessExpectations() {
+  static const std::map<std::string, std::size_t> expectations = {
+      {"call", 2},       // CALL OUTCOME
+      {"runs", 2},       // KEY COUNT
+      {"completed", 2},  // WORKSPACE LEAST-COUNT
+      {"share", 2},      // WORKSPACE LEAST-PERCENT of its calls completed
+      {"ratio", 3},      // WORKSPACE OTHER LEAST-PERCENT of its completed calls
+      {"crashes", 1},    // MOST-COUNT
+      {"in-force", 0},  {"begun", 1},  // CALL has begun at an engine
+      {"status", 2},                   // CALL HTTP-STATUS
+      {"reason", 2},                   // CALL REASON
+      {"same", 2},                     // CALL CALL got equal bodies
+      {"exited", 2},                   // PROCESS EXIT-CODE
+      {"ready", 1},                    // ROUTER
+      {"answered", 0},                 // every call has its final response
+      {"quiet", 2},                    // AGENT DURATION
+      {"idle", 1}};                    // AGENT has nothing running
+  return expectations;
+}
+
 std::vector<std::string> SplitWords(const std::string& line) {
   std::istringstream stream(line.substr(0, line.find('#')));
   return {std::istream_iterator<std::string>(stream), {}};
@@ -98,7 +134,10 @@
 
 class Parser {
  public:
-  explicit Parser(std::string file) { scenario_.file = std::move(file); }
+  Parser(std::string file, Dialect dialect)
+      : processes_(dialect == Dialect::kProcesses) {
+    scenario_.file = std::move(file);
+  }
 
   absl::StatusOr<Scenario> Parse(std::string_view text) {
     std::istringstream stream{std::string(text)};
@@ -122,6 +161,10 @@
     if (first == "fleet") return ParseFleet();
     if (first == "workspace") return ParseWorkspace();
     if (first == "at") return ParseStep();
+    if (processes_ && first == "unconfigured") {
+      scenario_.unconfigured = true;
+      return "";
+    }
     if (first == "check" && words_.size() == 2 && words_[1] == "undisturbed") {
       scenario_.check_undisturbed = true;
       return "";
@@ -175,8 +218,9 @@
     step.at = *at;
     step.verb = words_[2];
     step.line = line_;
-    std::string problem =
-        step.verb == "expect" ? ParseExpect(step) : ParseAction(step);
+    const bool expects =
+        step.verb == "expect" || (processes_ && step.verb == "wait");
+    std::string problem = expects ? ParseExpect(step) : ParseAction(step);
     if (!problem.empty()) return problem;
     scenario_.steps.push_back(std::move(step));
     return "";
@@ -185,8 +229,10 @@
   std::string ParseExpect(Step& step) {
     step.words.assign(words_.begin() + 3, words_.end());
     if (step.words.empty()) return "expect what?";
-    const auto it = Expectations().find(step.words[0]);
-    if (it == Expectations().end()) {
+    const auto& expectations =
+        processes_ ? ProcessExpectations() : Expectations();
+    const auto it = expectations.find(step.words[0]);
+    if (it == expectations.end()) {
       return fmt::format("unknown expectation \"{}\"", step.words[0]);
     }
     if (step.words.size() != it->second + 1) {
@@ -199,8 +245,9 @@
   }
 
   std::string ParseAction(Step& step) {
-    const auto verb = Verbs().find(step.verb);
-    if (verb == Verbs().end()) {
+    const auto& verbs = processes_ ? ProcessVerbs() : Verbs();
+    const auto verb = verbs.find(step.verb);
+    if (verb == verbs.end()) {
       return fmt::format("unknown step \"{}\"", step.verb);
     }
     const Grammar& grammar = verb->second;
@@ -279,6 +326,7 @@
     return fmt::format("\"{}\" needs {}", name, expected);
   }
 
+  bool processes_ = false;
   Scenario scenario_;
   int line_ = 0;
   std::vector<std::string> words_;
@@ -288,16 +336,17 @@
 }  // namespace
 
 absl::StatusOr<Scenario> ParseScenario(const std::string& file,
-                                       std::string_view text) {
-  return Parser(file).Parse(text);
+                                       std::string_view text, Dialect dialect) {
+  return Parser(file, dialect).Parse(text);
 }
 
-absl::StatusOr<Scenario> ReadScenario(const std::string& path) {
+absl::StatusOr<Scenario> ReadScenario(const std::string& path,
+                                      Dialect dialect) {
   std::ifstream file(path);
   if (!file) return absl::NotFoundError(path + ": can't be read");
   std::ostringstream text;
   text << file.rdbuf();
-  return ParseScenario(path, text.str());
+  return ParseScenario(path, text.str(), dialect);
 }
 
 std::string ToString(const Scenario& scenario) {
--- a/Source/TestTools/Fakes/Scenario.h
+++ b/Source/TestTools/Fakes/Scenario.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTBEAM_TESTTOOLS_FAKES_SCENARIO_H_
 #define SHALLOTBEAM_TESTTOOLS_FAKES_SCENARIO_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -44,15 +45,31 @@
   std::string file;
   FleetOptions fleet;
   bool check_undisturbed = false;
-  std::vector<Step> steps;  // in the order of the file
+  bool unconfigured = false;  // the fleet starts without a configuration
+  std::vector<Step> steps;    // in the order of the file
 };
 
+// What the steps act on. For processes, times are the earliest ones, and there
+// is more to say:
+//
+//   at 0ms send c1 via r1 stream yes
+//   at 0ms flood b via r1 count 50 every 20ms kind order key k again r2
+//   at 0ms wait begun c1      (any expectation; waits until it holds)
+//   at 0ms terminate a1       (SIGTERM, may be repeated)
+//   at 1s expect exited a1 0
+//   at 1s expect quiet a1 3s  (its engine begins nothing in that time)
+//   at 1s race                (two operators publish at once)
+//   unconfigured              (nothing is published at the start)
+enum class Dialect : std::uint8_t { kFakes, kProcesses };
+
 // Returns kInvalidArgument with file and line on the first mistake.
 absl::StatusOr<Scenario> ParseScenario(const std::string& file,
-                                       std::string_view text);
+                                       std::string_view text,
+                                       Dialect dialect = Dialect::kFakes);
 
 // Returns kNotFound if the file can't be read.
-absl::StatusOr<Scenario> ReadScenario(const std::string& path);
+absl::StatusOr<Scenario> ReadScenario(const std::string& path,
+                                      Dialect dialect = Dialect::kFakes);
 
 std::string ToString(const Scenario& scenario);
 
--- a/Source/TestTools/Load/Fleet.cpp
+++ b/Source/TestTools/Load/Fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -64,6 +65,34 @@
   return ended;
 }
 
+FleetProcess* Fleet::FindProcess(const std::string& name) {
+  for (FleetProcess& it : processes_) {
+    if (it.name == name) return &it;
+  }
+  return nullptr;
+}
+
+void Fleet::Signal(const std::string& name, int signal) {
+  FleetProcess* process = FindProcess(name);
+  if (process == nullptr || !process->child) return;
+  if (!process->child->ExitCode()) kill(process->child->Pid(), signal);
+}
+
+absl::Status Fleet::StartAgain(const std::string& name) {
+  FleetProcess* process = FindProcess(name);
+  if (process == nullptr) return absl::NotFoundError("no process " + name);
+  Signal(name, SIGKILL);
+  process->child.reset();  // waits for its end, which frees its ports
+  ++process->restarts;
+  return Spawn(*process);
+}
+
+std::optional<int> Fleet::ExitCode(const std::string& name) {
+  FleetProcess* process = FindProcess(name);
+  if (process == nullptr || !process->child) return std::nullopt;
+  return process->child->ExitCode();
+}
+
 common::Endpoint Fleet::NextEndpoint() {
   if (next_port_ == 0) return FreeEndpoint();
   return {.address = "127.0.0.1",
@@ -99,6 +128,10 @@
           std::string("--log"), spec.log}) {
       router.arguments.push_back(it);
     }
+    if (options_.host_list) {
+      router.arguments.emplace_back("--hosts");
+      router.arguments.push_back(platform);
+    }
   }
 }
 
@@ -117,6 +150,11 @@
     FleetProcess& agent =
         Add("agent-" + name, "agent", "ShallotbeamAgent/shallotbeam-agent");
     agent.pool = pool.pool;
+    // The host list names hosts by address, so that each agent needs its own.
+    if (options_.host_list) {
+      agent.http.address = fmt::format("127.0.0.{}", 10 + i);
+      agent.arguments = {"--listen", common::ToString(agent.http)};
+    }
     agent.admin = NextEndpoint();
     agent.control = NextEndpoint();
     const auto n = static_cast<std::size_t>(i) % spec.data_centres.size();
@@ -154,6 +192,7 @@
     absl::Status status = Spawn(it);
     if (!status.ok()) return status;
   }
+  if (!options_.publish) return absl::OkStatus();
   if (!options_.engines_only) {
     absl::Status published = Publish(experiment);
     if (!published.ok()) return published;
--- a/Source/TestTools/Load/Fleet.h
+++ b/Source/TestTools/Load/Fleet.h
@@ -36,6 +36,8 @@
   bool engines_only = false;  // without routers and agents, for baselines
   // Ports from here on; 0 picks free ones.
   int first_port = 0;
+  bool host_list = false;  // routers read the host list of the stand-in
+  bool publish = true;     // without it, Start() does not wait for readiness
 };
 
 // A fleet of local processes. Its destructor ends them.
@@ -58,6 +60,12 @@
   // ended, which is a fault.
   std::vector<std::string> CheckProcesses();
 
+  // Sends a signal unless the process has ended.
+  void Signal(const std::string& name, int signal);
+  // Starts a process with its arguments, after killing one that still runs.
+  absl::Status StartAgain(const std::string& name);
+  std::optional<int> ExitCode(const std::string& name);
+
  private:
   explicit Fleet(FleetOptions options) : options_(std::move(options)) {}
 
@@ -67,6 +75,7 @@
   absl::Status StartAll(const Experiment& experiment);
   void AddPlatformAndRouters(const FleetSpec& spec);
   void AddPool(const FleetSpec& spec, const PoolSpec& pool);
+  FleetProcess* FindProcess(const std::string& name);
   absl::Status Spawn(FleetProcess& process);
   absl::Status Publish(const Experiment& experiment);
   absl::Status WaitUntilReady();
--- /dev/null
+++ b/Source/TestTools/ProcessScenarios/Callers.cpp
@@ -0,0 +1,171 @@
+#include "ProcessScenarios/Callers.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "Runtime/HeaderNames.h"
+
+namespace shallotbeam::process_scenarios {
+
+namespace {
+
+using nlohmann::json;
+using transport::CallEnd;
+
+// The fleet answers every request by its deadline; beyond this margin the
+// caller counts it as broken.
+constexpr std::chrono::seconds kMargin{15};
+
+std::string Value(const boost::beast::http::fields& headers,
+                  std::string_view name) {
+  const auto it =
+      headers.find(boost::beast::string_view(name.data(), name.size()));
+  return it == headers.end() ? "" : std::string(it->value());
+}
+
+boost::beast::string_view View(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+transport::HttpRequest RequestOf(const CallOptions& options,
+                                 const std::string& target) {
+  transport::HttpRequest request{.method = "POST", .target = target};
+  request.headers.set(View(runtime::kWorkspaceHeader), options.workspace);
+  request.headers.set(View(runtime::kKindHeader), options.kind);
+  request.headers.set(View(runtime::kDeadlineHeader),
+                      std::to_string(options.deadline.count()));
+  if (!options.key.empty()) {
+    request.headers.set(View(runtime::kIdempotencyKeyHeader), options.key);
+  }
+  return request;
+}
+
+}  // namespace
+
+std::string ToString(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kOpen:
+      return "open";
+    case Outcome::kCompleted:
+      return "completed";
+    case Outcome::kTruncated:
+      return "truncated";
+    case Outcome::kBroken:
+      return "broken";
+    case Outcome::kNotRun:
+      return "not-run";
+    case Outcome::kMayHaveRun:
+      break;
+  }
+  return "may-have-run";
+}
+
+std::size_t Callers::Send(CallOptions options) {
+  const std::size_t index = calls_.size();
+  const json body = {{"tag", std::to_string(index)},
+                     {"prompt", options.crashes ? "CRASH-ENGINE" : "innocent"},
+                     {"max_tokens", options.tokens},
+                     {"stream", options.stream},
+                     {"name_run", options.stream}};
+  calls_.push_back({.options = std::move(options),
+                    .body = body.dump(),
+                    .sent = Clock::now()});
+  const CallOptions& call = calls_.back().options;
+  if (call.ticket && call.key.empty()) {
+    FetchTicket(index);
+  } else {
+    Start(index);
+  }
+  return index;
+}
+
+std::size_t Callers::SendAgain(std::size_t first, const std::string& router) {
+  Call call{.options = calls_[first].options,
+            .body = calls_[first].body,
+            .sent = Clock::now()};
+  call.options.router = router;
+  calls_.push_back(std::move(call));
+  Start(calls_.size() - 1);
+  return calls_.size() - 1;
+}
+
+void Callers::FetchTicket(std::size_t index) {
+  Call& call = calls_[index];
+  call.http = client_.Fetch(
+      find_(call.options.router), RequestOf(call.options, "/v1/tickets"),
+      call.options.deadline + kMargin,
+      [this, index](CallEnd end, const transport::HttpResponse& response) {
+        Call& call = calls_[index];
+        const json body = json::parse(response.body, nullptr, false);
+        if (end == CallEnd::kComplete && body.is_object() &&
+            body.contains("ticket")) {
+          call.options.key = body["ticket"].get<std::string>();
+          call.sent = Clock::now();
+          return Start(index);
+        }
+        call.status = response.status;
+        call.response = response.body;
+        if (body.is_object()) call.reason = body.value("reason", "");
+        // Nothing was sent yet, so that no outcome of a key is claimed.
+        call.outcome = Outcome::kBroken;
+        call.ended = Clock::now();
+      });
+}
+
+void Callers::Start(std::size_t index) {
+  Call& call = calls_[index];
+  auto request = RequestOf(call.options, "/v1/requests");
+  request.body = call.body;
+  auto verdict = std::make_shared<std::string>();
+  transport::CallHandlers handlers;
+  handlers.on_head = [this, index, verdict](const auto& head) {
+    Call& call = calls_[index];
+    call.status = head.status;
+    call.reason = Value(head.headers, runtime::kReasonHeader);
+    *verdict = Value(head.headers, runtime::kVerdictHeader);
+  };
+  handlers.on_body = [this, index](const std::string& piece, const auto& more) {
+    calls_[index].response += piece;
+    more();
+  };
+  handlers.on_end = [this, index, verdict](CallEnd end) {
+    End(calls_[index], end, *verdict);
+  };
+  call.http =
+      client_.Start(find_(call.options.router), std::move(request),
+                    call.options.deadline + kMargin, std::move(handlers));
+}
+
+void Callers::End(Call& call, CallEnd end, const std::string& verdict) {
+  call.ended = Clock::now();
+  const bool error_event =
+      call.response.find("event: error") != std::string::npos;
+  if (end != CallEnd::kComplete) {
+    call.outcome = call.options.stream && call.status == 200 && error_event
+                       ? Outcome::kTruncated
+                       : Outcome::kBroken;
+  } else if (verdict == "not-run") {
+    call.outcome = Outcome::kNotRun;
+  } else if (verdict == "may-have-run") {
+    call.outcome = Outcome::kMayHaveRun;
+  } else {
+    call.outcome =
+        call.status == 200 ? Outcome::kCompleted : Outcome::kMayHaveRun;
+  }
+}
+
+void Callers::RunFor(std::chrono::milliseconds period) {
+  context_.restart();
+  context_.run_for(period);
+  // Without calls in flight, the context returns at once.
+  const auto left = context_.stopped() ? period : std::chrono::milliseconds(0);
+  if (left.count() > 0) {
+    boost::asio::steady_timer pause(context_, left);
+    pause.async_wait([](const auto&) {});
+    context_.restart();
+    context_.run_for(left);
+  }
+}
+
+}  // namespace shallotbeam::process_scenarios
--- /dev/null
+++ b/Source/TestTools/ProcessScenarios/ProcessChecks.cpp
@@ -0,0 +1,133 @@
+#include "ProcessScenarios/ProcessChecks.h"
+
+#include <fmt/format.h>
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace shallotbeam::process_scenarios {
+
+namespace {
+
+using nlohmann::json;
+
+std::int64_t Milliseconds(Clock::time_point time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             time.time_since_epoch())
+      .count();
+}
+
+// Position in the order in which the routers read the sends. One that a frozen
+// router may have read late counts as read after all others.
+std::size_t ReadOrder(const std::deque<Call>& calls, std::size_t index) {
+  return calls[index].unread ? index + calls.size() : index;
+}
+
+// "Not run" is false if the key ran before that answer was asked for, or if
+// this send or an earlier one ran at any time.
+void CheckNotRun(const std::deque<Call>& calls, std::size_t index,
+                 const std::vector<Run>& runs,
+                 std::vector<std::string>* found) {
+  const Call& call = calls[index];
+  if (call.outcome != Outcome::kNotRun || call.options.key.empty()) return;
+  for (const Run& run : runs) {
+    if (run.key != call.options.key) continue;
+    const bool covered = run.begun_ms < Milliseconds(call.sent) ||
+                         ReadOrder(calls, run.tag) <= ReadOrder(calls, index);
+    if (!covered) continue;
+    found->push_back(fmt::format(
+        "send {} via {} was answered not-run ({}) but send {} of "
+        "key \"{}\" ran at {}",
+        index, call.options.router, call.reason, run.tag, run.key, run.engine));
+  }
+}
+
+// All tokens in order, of one run, and the end mark.
+std::string ProblemOfStream(const Call& call, const std::string& tag) {
+  std::istringstream lines(call.response);
+  std::string line;
+  std::string run;
+  int tokens = 0;
+  bool ended = false;
+  bool named = false;
+  while (std::getline(lines, line)) {
+    if (line.rfind("data: ", 0) != 0) continue;
+    const std::string data = line.substr(6);
+    if (data == "[DONE]") ended = true;
+    const json event = json::parse(data, nullptr, false);
+    if (!event.is_object() || !event.contains("choices")) continue;
+    if (event.contains("tag")) {
+      named = event["tag"] == tag;
+      continue;
+    }
+    if (run.empty()) run = event.value("run", "");
+    if (event.value("run", "") != run) return "has tokens of two runs";
+    const std::string expected = fmt::format("t{} ", tokens++);
+    if (event["choices"][0].value("text", "") != expected) {
+      return fmt::format("lacks token {}", expected);
+    }
+  }
+  if (call.outcome != Outcome::kCompleted) return "";
+  if (!ended || !named || tokens != call.options.tokens) {
+    return fmt::format("looks complete with {} of {} tokens", tokens,
+                       call.options.tokens);
+  }
+  return "";
+}
+
+void CheckResponse(const std::deque<Call>& calls, std::size_t index,
+                   std::vector<std::string>* found) {
+  const Call& call = calls[index];
+  const json body = json::parse(call.body);
+  const auto tag = body["tag"].get<std::string>();
+  if (call.outcome == Outcome::kOpen) {
+    found->push_back(fmt::format("send {} got no final response", index));
+  }
+  if (call.options.stream) {
+    if (call.status != 200) return;
+    const std::string problem = ProblemOfStream(call, tag);
+    if (problem.empty()) return;
+    found->push_back(fmt::format("the stream of send {} {}", index, problem));
+    return;
+  }
+  if (call.outcome != Outcome::kCompleted) return;
+  const json response = json::parse(call.response, nullptr, false);
+  const bool own = response.is_object() && response.value("tag", "") == tag;
+  if (own || !call.options.key.empty()) return;
+  found->push_back(
+      fmt::format("send {} got another response: {}", index, call.response));
+}
+
+}  // namespace
+
+std::vector<std::string> CheckRun(const std::deque<Call>& calls,
+                                  const std::vector<Run>& runs) {
+  std::vector<std::string> found;
+  std::map<std::string, int> count;
+  for (const Run& run : runs) {
+    if (++count[run.key] == 2) {
+      found.push_back(fmt::format("key \"{}\" ran more than once", run.key));
+    }
+  }
+  std::map<std::string, std::string> results;
+  for (std::size_t i = 0; i < calls.size(); ++i) {
+    CheckResponse(calls, i, &found);
+    CheckNotRun(calls, i, runs, &found);
+    const Call& call = calls[i];
+    if (call.options.key.empty() || call.outcome != Outcome::kCompleted) {
+      continue;
+    }
+    if (count[call.options.key] == 0) {
+      found.push_back(fmt::format("send {} completed, but key \"{}\" never ran",
+                                  i, call.options.key));
+    }
+    const auto [it, first] = results.emplace(call.options.key, call.response);
+    if (first || it->second == call.response) continue;
+    found.push_back(fmt::format("two results of key \"{}\": {} and {}",
+                                call.options.key, it->second, call.response));
+  }
+  return found;
+}
+
+}  // namespace shallotbeam::process_scenarios
--- /dev/null
+++ b/Source/TestTools/ProcessScenarios/ProcessRun.h
@@ -0,0 +1,35 @@
+#ifndef SHALLOTBEAM_TESTTOOLS_PROCESSSCENARIOS_PROCESSRUN_H_
+#define SHALLOTBEAM_TESTTOOLS_PROCESSSCENARIOS_PROCESSRUN_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Fakes/Scenario.h"
+
+// Runs scenarios against a fleet of real processes on loopback.
+namespace shallotbeam::process_scenarios {
+
+struct ProcessRunOptions {
+  std::string programs;     // folder with the built programs
+  std::string work_folder;  // for logs and configuration
+  int first_port = 30'100;  // 40 ports from here on
+};
+
+struct ProcessRunResult {
+  std::vector<std::string> violations;  // one line each
+  std::map<std::string, int> outcomes;  // number of calls by outcome
+  int keys = 0;                         // that ran
+  int runs = 0;                         // with keys
+  int crashes = 0;                      // of engines
+};
+
+// The steps run in order of their times; the time that a `wait` takes moves all
+// later steps. At the end every fault is healed, every call gets its final
+// response, and the checks that hold in every run are made.
+ProcessRunResult RunWithProcesses(const fakes::Scenario& scenario,
+                                  const ProcessRunOptions& options);
+
+}  // namespace shallotbeam::process_scenarios
+
+#endif  // SHALLOTBEAM_TESTTOOLS_PROCESSSCENARIOS_PROCESSRUN_H_
