--- a/Source/TestTools/ProcessScenarios/ProcessRun.cpp
+++ b/Source/TestTools/ProcessScenarios/ProcessRun.cpp
@@ -246,8 +246,7 @@
     flood.call.workspace = step.words[0];
     flood.key = flood.call.key;
     flood.call.key.clear();
-    const auto again = step.options.find("again");
-    if (again != step.options.end()) flood.again = again->second;
+    if (step.options.count("again")) flood.again = step.options.at("again");
     floods_.push_back(std::move(flood));
   }
 
