End the actor of a process before what it uses

Cause: a process destroyed its mailbox and servers while its actor could still run, and the mailbox thread read the actor's handle while it was cleared. When an address was taken after the actor had started, the process hung: the engine held the actor's handle, and the actor the engine. Change: a guard ends the actor and waits for it; the configuration of the actor system is shared by both programs. Before: TakenAddressEndsTheProcess does not end (killed after ten minutes); after: it passes in under a second.

--- a/Source/Core/Runtime/AgentProcess.cpp
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "Common/Logging.h"
+#include "Runtime/ActorHost.h"
 #include "Runtime/AdminServer.h"
 #include "Runtime/AgentEngine.h"
 #include "Runtime/OfferHeaders.h"
@@ -80,11 +81,7 @@
   const common::Incarnation incarnation = DrawIncarnation();
   const common::SteadyClock clock;
   ProcessHost host(settings.threads);
-  caf::actor_system_config actor_config;
-  actor_config.set("scheduler.max-threads", 1);
-  // One worker has nobody to steal from, and stealing polls.
-  actor_config.set("scheduler.policy", caf::atom("sharing"));
-  caf::actor_system actors(actor_config);
+  ActorHost actors;
   transport::HttpClient client(host.Context());
 
   // Set before any message can arrive through it.
@@ -129,7 +126,8 @@
                 host.StopWhen(
                     [&data] { return data->PendingResponses() == 0; });
               }});
-  *agent = actors.spawn(AgentActor, engine);
+  *agent = actors.System().spawn(AgentActor, engine);
+  const ActorGuard guard(actors, agent);
 
   auto listening = transport::HttpServer::Listen(
       host.Context(),
@@ -151,8 +149,6 @@
               common::ToString(settings.data));
   host.Run([post_event] { post_event(admission::Tick{}); },
            [post_event] { post_event(admission::DrainRequested{}); });
-  caf::anon_send_exit(*agent, caf::exit_reason::user_shutdown);
-  *agent = nullptr;
   return absl::OkStatus();
 }
 
--- a/Source/Core/Runtime/RouterProcess.cpp
+++ b/Source/Core/Runtime/RouterProcess.cpp
@@ -9,6 +9,7 @@
 #include "Common/Logging.h"
 #include "Platform/EtcdStore.h"
 #include "Platform/HostList.h"
+#include "Runtime/ActorHost.h"
 #include "Runtime/AdminServer.h"
 #include "Runtime/CallerRequest.h"
 #include "Runtime/ProcessHost.h"
@@ -116,11 +117,7 @@
   const common::Incarnation incarnation = DrawIncarnation();
   const common::SteadyClock clock;
   ProcessHost host(settings.threads);
-  caf::actor_system_config actor_config;
-  actor_config.set("scheduler.max-threads", 1);
-  // One worker has nobody to steal from, and stealing polls.
-  actor_config.set("scheduler.policy", caf::atom("sharing"));
-  caf::actor_system actors(actor_config);
+  ActorHost actors;
   transport::HttpClient client(host.Context());
   platform::EtcdStore store(client, {.endpoint = settings.platform});
   platform::HttpHostList hosts(client, {.endpoint = settings.hosts});
@@ -169,7 +166,8 @@
                 caf::anon_send(*router, HostsMessage{std::move(listed)});
               },
           .seed_routers = settings.routers});
-  *router = actors.spawn(RouterActor, engine);
+  *router = actors.System().spawn(RouterActor, engine);
+  const ActorGuard guard(actors, router);
 
   auto listening = transport::HttpServer::Listen(
       host.Context(),
@@ -199,8 +197,6 @@
                post_event(routing::DrainRequested{});
              });
            });
-  caf::anon_send_exit(*router, caf::exit_reason::user_shutdown);
-  *router = nullptr;
   return absl::OkStatus();
 }
 
