Choose ports of local fleets below those of outgoing connections

Cause: the load tool took free ports from the system, which gives them to outgoing connections too: a router failed with "Address in use" on its control port, once in this run of scripts/demo and once before. Change: ports from 10000 to 26999, checked by binding.

--- a/Source/TestTools/Load/Processes.cpp
+++ b/Source/TestTools/Load/Processes.cpp
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <csignal>
@@ -125,10 +126,21 @@
 }
 
 common::Endpoint FreeEndpoint() {
-  boost::asio::io_context context;
-  const boost::asio::ip::tcp::acceptor acceptor(
-      context, {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
-  return {.address = "127.0.0.1", .port = acceptor.local_endpoint().port()};
+  namespace net = boost::asio;
+  // The system takes ports of outgoing connections from 32768 up; one of them
+  // may be in use again before the process that it was chosen for listens.
+  constexpr int kFirst = 10'000;
+  constexpr int kCount = 17'000;
+  constexpr int kStep = 97;  // keeps tools that run side by side apart
+  static std::atomic<int> offset = getpid() * kStep;
+  net::io_context context;
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(kFirst + offset++ % kCount);
+    net::ip::tcp::acceptor acceptor(context, net::ip::tcp::v4());
+    boost::system::error_code ec;
+    acceptor.bind({net::ip::make_address_v4("127.0.0.1"), port}, ec);
+    if (!ec) return {.address = "127.0.0.1", .port = port};
+  }
 }
 
 transport::HttpResponse FetchNow(const common::Endpoint& endpoint,
