Share the handlers of the two response relays

Both relays, towards the caller and towards the router, built the same three handlers of a call. HandlersOf() makes them for either; the relays lose their base class. Behaviour is unchanged: Runtime, Transport, Commands, Load and ProcessScenarios pass, format and lint of the changed files are clean.

--- /dev/null
+++ b/Source/Core/Runtime/CallRelay.h
@@ -0,0 +1,29 @@
+#ifndef SHALLOTBEAM_CORE_RUNTIME_CALLRELAY_H_
+#define SHALLOTBEAM_CORE_RUNTIME_CALLRELAY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "Transport/HttpClient.h"
+
+namespace shallotbeam::runtime {
+
+// The handlers of a call whose events go to OnHead(), OnBody() and OnEnd() of
+// `relay`, which lives until the call has ended.
+template <typename Relay>
+transport::CallHandlers HandlersOf(const std::shared_ptr<Relay>& relay) {
+  return {
+      .on_head =
+          [relay](const transport::ResponseHead& head) { relay->OnHead(head); },
+      .on_body =
+          [relay](std::string piece, std::function<void()> resume) {
+            relay->OnBody(std::move(piece), std::move(resume));
+          },
+      .on_end = [relay](transport::CallEnd end) { relay->OnEnd(end); }};
+}
+
+}  // namespace shallotbeam::runtime
+
+#endif  // SHALLOTBEAM_CORE_RUNTIME_CALLRELAY_H_
--- a/Source/Core/Runtime/DispatchCall.cpp
+++ b/Source/Core/Runtime/DispatchCall.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "Runtime/CallRelay.h"
 #include "Runtime/HeaderNames.h"
 #include "Runtime/OfferHeaders.h"
 #include "Runtime/Refusals.h"
@@ -22,7 +23,7 @@
 constexpr common::Duration kAnswerGrace = std::chrono::seconds(1);
 
 // The response of one attempt on its way to the caller.
-class ResponseRelay : public std::enable_shared_from_this<ResponseRelay> {
+class ResponseRelay {
  public:
   ResponseRelay(common::RequestId id, std::uint32_t attempt,
                 std::shared_ptr<transport::HttpExchange> exchange,
@@ -32,22 +33,6 @@
         exchange_(std::move(exchange)),
         post_event_(std::move(post_event)) {}
 
-  transport::CallHandlers Handlers() {
-    return {
-        .on_head =
-            [self = shared_from_this()](const transport::ResponseHead& head) {
-              self->OnHead(head);
-            },
-        .on_body =
-            [self = shared_from_this()](std::string piece,
-                                        std::function<void()> resume) {
-              self->OnBody(std::move(piece), std::move(resume));
-            },
-        .on_end = [self =
-                       shared_from_this()](CallEnd end) { self->OnEnd(end); }};
-  }
-
- private:
   void OnHead(const transport::ResponseHead& head) {
     refusal_ = ParseRefusal(head.headers);
     if (refusal_) return;
@@ -94,6 +79,7 @@
     Post(DispatchOutcome::kCompleted);
   }
 
+ private:
   void Post(DispatchOutcome outcome) {
     post_event_(routing::DispatchEnded{
         .id = id_,
@@ -123,7 +109,7 @@
   const auto relay = std::make_shared<ResponseRelay>(
       action.id, action.attempt, std::move(exchange), std::move(post_event));
   return client.Start(action.endpoint, std::move(request),
-                      action.time_left + kAnswerGrace, relay->Handlers());
+                      action.time_left + kAnswerGrace, HandlersOf(relay));
 }
 
 }  // namespace shallotbeam::runtime
--- a/Source/Core/Runtime/UpstreamCall.cpp
+++ b/Source/Core/Runtime/UpstreamCall.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Common/Verdict.h"
+#include "Runtime/CallRelay.h"
 #include "Runtime/HeaderNames.h"
 #include "Runtime/UsageMeter.h"
 
@@ -36,7 +37,7 @@
 }
 
 // The response of the upstream on its way to the router.
-class UpstreamRelay : public std::enable_shared_from_this<UpstreamRelay> {
+class UpstreamRelay {
  public:
   UpstreamRelay(const UpstreamCallOptions& options,
                 std::shared_ptr<transport::HttpExchange> exchange,
@@ -45,22 +46,6 @@
         exchange_(std::move(exchange)),
         handlers_(std::move(handlers)) {}
 
-  transport::CallHandlers Handlers() {
-    return {
-        .on_head =
-            [self = shared_from_this()](const transport::ResponseHead& head) {
-              self->OnHead(head);
-            },
-        .on_body =
-            [self = shared_from_this()](std::string piece,
-                                        std::function<void()> resume) {
-              self->OnBody(std::move(piece), std::move(resume));
-            },
-        .on_end = [self =
-                       shared_from_this()](CallEnd end) { self->OnEnd(end); }};
-  }
-
- private:
   void OnHead(const transport::ResponseHead& head) {
     handlers_.post_event(admission::UpstreamResponded{.id = options_.id});
     response_.status = head.status;
@@ -102,6 +87,7 @@
                                  .response_bytes = response_bytes});
   }
 
+ private:
   void Complete() {
     if (streamed_) return exchange_->Finish();
     if (options_.keep_result) handlers_.keep(response_);
@@ -138,7 +124,7 @@
   const auto relay = std::make_shared<UpstreamRelay>(
       options, std::move(exchange), std::move(handlers));
   return client.Start(options.upstream, std::move(request), options.timeout,
-                      relay->Handlers());
+                      HandlersOf(relay));
 }
 
 }  // namespace shallotbeam::runtime
