Answer requests that have arrived before an idle connection closes

The idle timeout closed in the same way after a freeze, and a connection that was accepted in the same turn was closed although its bytes had been read.

Change: an idle connection is closed after the handlers that are already due, and only if nothing waits to be read on it.

The test failed at 3 checks before.

--- a/Source/Core/Forwarding/CallerConnection.cpp
+++ b/Source/Core/Forwarding/CallerConnection.cpp
@@ -306,12 +306,21 @@
 
 void CallerConnection::CloseWhenIdle() {
   close_when_idle_ = true;
-  if (state_ == State::kIdle) Close();
+  CloseIfUnused();
 }
 
 void CallerConnection::CloseIfIdleFor(common::TimePoint now,
                                       common::Duration time) {
-  if (state_ == State::kIdle && now - state_since_ >= time) Close();
+  if (state_ == State::kIdle && now - state_since_ >= time) CloseIfUnused();
+}
+
+void CallerConnection::CloseIfUnused() {
+  // Posted, so that bytes that a read has already taken are handled first.
+  net::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->state_ != State::kIdle) return;
+    error_code ec;
+    if (self->socket_.available(ec) == 0) self->Close();
+  });
 }
 
 void CallerConnection::CheckTimeouts(common::TimePoint now) {
@@ -319,7 +328,7 @@
   const common::Duration in_state = now - state_since_;
   switch (state_) {
     case State::kIdle:
-      if (in_state > limits.idle_timeout) Close();
+      if (in_state > limits.idle_timeout) CloseIfUnused();
       return;
     case State::kReading: {
       const bool header_done = parser_ && parser_->is_header_done();
--- a/Source/Core/Forwarding/CallerConnection.h
+++ b/Source/Core/Forwarding/CallerConnection.h
@@ -86,7 +86,8 @@
 
   // Closes after the current response, or after the first one to come.
   void CloseAfterNext() { close_when_idle_ = true; }
-  // As CloseAfterNext(), but closes an idle connection now.
+  // As CloseAfterNext(), but closes an idle connection on which no request has
+  // arrived, read or not.
   void CloseWhenIdle();
   void CloseIfIdleFor(common::TimePoint now, common::Duration time);
   // Applies timeouts; called a few times a second.
@@ -116,6 +117,7 @@
   void Flush();
   void EndResponse();
   void Linger();
+  void CloseIfUnused();
   void Close();
 
   static constexpr std::size_t kReadBytes = 8'192;
--- a/Source/UnitTests/Core/Forwarding/CallerServerTest.cpp
+++ b/Source/UnitTests/Core/Forwarding/CallerServerTest.cpp
@@ -49,9 +49,12 @@
   net::ip::tcp::socket& Connect() {
     net::ip::tcp::socket& socket = sockets.emplace_back(context);
     socket.connect({net::ip::make_address("127.0.0.1"), server.Port()});
+    SendRequest(socket);
+    return socket;
+  }
+  static void SendRequest(net::ip::tcp::socket& socket) {
     net::write(socket,
                net::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
-    return socket;
   }
   // Sends a request on a new connection, which stays open; returns the head of
   // the response, or nothing if there is none.
@@ -122,6 +125,26 @@
   for (net::ip::tcp::socket* it : waiting) BOOST_CHECK(!Answer(*it).empty());
 }
 
+// Pattern: a busy process is told to stop, or was frozen for longer than idle
+// connections are kept. Guards against requests that have arrived, on new
+// connections and on kept ones, and end without an answer.
+BOOST_AUTO_TEST_CASE(UnreadRequestsAreAnsweredBeforeConnectionsClose) {
+  Ask();
+  net::ip::tcp::socket& frozen = sockets.back();
+  SendRequest(frozen);
+  clock.Advance(limits.idle_timeout + 1s);
+  server.CheckTimeouts(clock.Now());
+  BOOST_CHECK(!Answer(frozen).empty());
+  Ask();
+  net::ip::tcp::socket& kept = sockets.back();
+  SendRequest(kept);
+  net::ip::tcp::socket& waiting = Connect();
+  server.SetAccepting(false);
+  server.Drain();
+  BOOST_CHECK(!Answer(kept).empty());
+  BOOST_CHECK(!Answer(waiting).empty());
+}
+
 // Guards against connections that end although there is room for them.
 BOOST_AUTO_TEST_CASE(ConnectionsAreKeptWhileThereIsRoom) {
   for (std::size_t i = 0; i < kMaxConnections / 2; ++i) {
