--- a/Source/UnitTests/Core/Balancing/UpstreamTableTest.cpp
+++ b/Source/UnitTests/Core/Balancing/UpstreamTableTest.cpp
@@ -123,6 +123,7 @@
       common::UpstreamName("a"), common::UpstreamName("b"),
       common::UpstreamName("c"), common::UpstreamName("d")};
   std::vector<const common::UpstreamName*> ranked;
+  ranked.reserve(names.size());
   for (const auto& it : names) ranked.push_back(&it);
   BOOST_CHECK(PickWithBoundedLoad(ranked, {0, 0, 0, 0}) == ranked[0]);
   BOOST_CHECK(PickWithBoundedLoad(ranked, {5, 5, 5, 5}) == ranked[0]);
--- a/Source/UnitTests/Core/Forwarding/CallerServerTest.cpp
+++ b/Source/UnitTests/Core/Forwarding/CallerServerTest.cpp
@@ -95,6 +95,7 @@
 // and against a server that accepts nobody afterwards.
 BOOST_AUTO_TEST_CASE(CallersAreToldWhenNoDescriptorIsLeft) {
   std::vector<net::ip::tcp::socket*> waiting;
+  waiting.reserve(5);
   for (int i = 0; i < 5; ++i) waiting.push_back(&Connect());
   rlimit limit{};
   BOOST_REQUIRE_EQUAL(getrlimit(RLIMIT_NOFILE, &limit), 0);
@@ -120,6 +121,7 @@
 // have arrived and end without an answer.
 BOOST_AUTO_TEST_CASE(PendingConnectionsAreAnsweredWhenAcceptingStops) {
   std::vector<net::ip::tcp::socket*> waiting;
+  waiting.reserve(3);
   for (int i = 0; i < 3; ++i) waiting.push_back(&Connect());
   server.SetAccepting(false);
   for (net::ip::tcp::socket* it : waiting) BOOST_CHECK(!Answer(*it).empty());
--- a/Source/UnitTests/Core/Scheduling/EngineSchedulerTest.cpp
+++ b/Source/UnitTests/Core/Scheduling/EngineSchedulerTest.cpp
@@ -289,6 +289,7 @@
   scheduler.spec.slots = 100;
   const double before = scheduler.reading_share.share;
   std::vector<OfferId> ids;
+  ids.reserve(20);
   for (int i = 0; i < 20; ++i) ids.push_back(Give({.tokens = 100}));
   Pass(100ms);
   for (int i = 0; i < 3; ++i) {
@@ -309,6 +310,7 @@
   scheduler.spec.slots = 100;
   const double before = scheduler.reading_share.share;
   std::vector<OfferId> ids;
+  ids.reserve(60);
   for (int i = 0; i < 60; ++i) ids.push_back(Give({.tokens = 100}));
   Pass(100ms);
   for (const OfferId& id : ids) OnPaused(scheduler, clock.Now(), id);
