--- a/Source/Core/Gateway/GatewayCalls.cpp
+++ b/Source/Core/Gateway/GatewayCalls.cpp
@@ -23,6 +23,13 @@
 constexpr common::Duration kShortestStreamPatience = milliseconds(1'900);
 constexpr int kPatienceTargets = 4;  // times the latency target
 constexpr int kPatiencePauses = 8;   // times the longest pause on time
+// Advised delays are spread over this range around the expected wait, so that
+// callers do not come back together.
+constexpr double kLeastRetrySpread = 0.5;
+constexpr double kMostRetrySpread = 1.5;
+// A caller is advised to wait for this part of its time left at most, so that
+// it has time for further tries.
+constexpr int kRetryPartOfTimeLeft = 3;
 // Processor time of a request without events, in events relayed.
 constexpr double kRequestCost = 8;
 
@@ -185,10 +192,11 @@
 
 common::Duration Gateway::RetryAfter(const Call& call, common::Duration wait) {
   const common::Duration left = call.deadline - environment_.clock.Now();
-  std::uniform_real_distribution<double> spread(0.5, 1.5);
+  std::uniform_real_distribution<double> spread(kLeastRetrySpread,
+                                                kMostRetrySpread);
   const auto delay = std::chrono::duration_cast<common::Duration>(
       std::max(wait, kShortRetryAfter) * spread(random_));
-  return std::min(delay, left / 3);
+  return std::min(delay, left / kRetryPartOfTimeLeft);
 }
 
 void Gateway::SendTo(Call& call, const common::UpstreamName& name,
@@ -283,8 +291,7 @@
       "event=served id={} status={} route={} workspace={} upstream={} "
       "attempts={} sent_ms={} first_ms={} done_ms={} pause_ms={} home={} "
       "tokens={} shared={} subject={:x} cached={} source={} output={} "
-      "target_ms={} "
-      "within_share={}",
+      "target_ms={} within_share={}",
       call.facts.request_id, status, call.route->name,
       call.workspace == nullptr ? "" : call.workspace->name.value,
       call.upstream.value, call.attempts, since_arrival(call.attempt_started),
--- a/Source/Core/Scheduling/EngineScheduler.cpp
+++ b/Source/Core/Scheduling/EngineScheduler.cpp
@@ -10,9 +10,16 @@
 
 using Waiting = EngineScheduler::Waiting;
 
+// Reading that surplus requests wait for at most.
 constexpr common::Duration kLongestSurplusBacklog =
     std::chrono::milliseconds(500);
 
+// Requests that run have taken half of the memory that they will need, on
+// average.
+constexpr double kMeanProgress = 0.5;
+// Longer intervals between ends of requests say nothing of the engine's rate.
+constexpr common::Duration kLongestEndInterval = std::chrono::seconds(1);
+
 // Tokens that the engine has to read.
 int Uncached(const EngineScheduler& scheduler, const Offer& offer) {
   const int cached = std::max(scheduler.cache.CachedTokens(offer.prompt),
@@ -117,7 +124,7 @@
   scheduler.cache.Use(offer.prompt);
   if (scheduler.spec.memory_tokens > 0) {
     scheduler.cache.Shrink(scheduler.spec.memory_tokens -
-                           MemoryInUse(scheduler) * 0.5);
+                           MemoryInUse(scheduler) * kMeanProgress);
   }
   scheduler.service[offer.workspace].served +=
       common::ServiceTokens(offer.prompt);
@@ -351,7 +358,7 @@
                         Occupied(scheduler) >= scheduler.spec.slots - 1;
   if (was_full && scheduler.last_end) {
     const common::Duration interval = std::min<common::Duration>(
-        now - *scheduler.last_end, std::chrono::seconds(1));
+        now - *scheduler.last_end, kLongestEndInterval);
     const double weight = scheduler.options.end_weight;
     scheduler.end_interval = common::Duration(static_cast<std::int64_t>(
         static_cast<double>(scheduler.end_interval.count()) * (1 - weight) +
