Rank engines for the lane once per prompt

Each prompt's dispatch ordered all engines for the lane twice, once for the home of its subject and once for the choice of its part; both now use one split. The rows of a hello that are not offered are built where they are sent, and a reply's unused sender is no longer passed. Behaviour is unchanged: the tests of the package pass as they are.

--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -105,11 +105,9 @@
   // Sends the call to an upstream. `ticket` may be empty.
   void SendTo(Call& call, const common::UpstreamName& name, StartTicket ticket);
   std::vector<const common::UpstreamName*> Candidates(const Call& call) const;
-  static common::UpstreamName HomeOf(
-      const std::vector<const common::UpstreamName*>& ranked);
   std::vector<const common::UpstreamName*> ByLane(
-      const Call& call,
-      const std::vector<const common::UpstreamName*>& candidates) const;
+      const Call& call, const std::vector<const common::UpstreamName*>& ranked,
+      const balancing::LaneSplit& split) const;
   const common::UpstreamName* LeastUsed(
       const std::vector<const common::UpstreamName*>& candidates);
   // Makes the scheduler of an upstream with an engine known.
--- a/Source/Core/Gateway/GatewayCalls.cpp
+++ b/Source/Core/Gateway/GatewayCalls.cpp
@@ -70,41 +70,35 @@
                            });
 }
 
-// The engine that caches what the subject's prompts share: the first in the
-// subject's order outside the lane.
-common::UpstreamName Gateway::HomeOf(
-    const std::vector<const common::UpstreamName*>& ranked) {
-  const auto others = balancing::SplitLane({}, ranked).others;
-  return others.empty() ? common::UpstreamName() : *others.front();
-}
-
 // Long prompts go to the engines of the lane, all others elsewhere while some
 // engine there answers.
 std::vector<const common::UpstreamName*> Gateway::ByLane(
-    const Call& call,
-    const std::vector<const common::UpstreamName*>& candidates) const {
+    const Call& call, const std::vector<const common::UpstreamName*>& ranked,
+    const balancing::LaneSplit& split) const {
   const auto pace = starts_.ReadingPace();
-  if (!pace) return candidates;
-  auto split = balancing::SplitLane({}, candidates);
+  if (!pace) return ranked;
   const bool is_long = balancing::IsLongPrompt({}, *call.facts.prompt, *pace,
                                                call.route->pause_target);
   const auto& wanted = is_long ? split.lane : split.others;
   const bool answers =
       std::any_of(wanted.begin(), wanted.end(),
                   [this](const auto* it) { return starts_.IsAnswering(*it); });
-  return answers ? wanted : candidates;
+  return answers ? wanted : ranked;
 }
 
 void Gateway::Dispatch(Call& call) {
-  auto candidates = Candidates(call);
+  const auto candidates = Candidates(call);
   if (candidates.empty()) {
     return Answer(call, kUnavailable, "no_upstream", kShortRetryAfter);
   }
   if (!call.facts.prompt) return SendTo(call, *LeastUsed(candidates), {});
-  const std::uint64_t subject = common::SubjectOf(*call.facts.prompt);
-  candidates = balancing::RankBySubject(subject, candidates);
-  call.home = HomeOf(candidates);
-  SeekStart(call, ByLane(call, candidates));
+  const auto ranked = balancing::RankBySubject(
+      common::SubjectOf(*call.facts.prompt), candidates);
+  const balancing::LaneSplit split = balancing::SplitLane({}, ranked);
+  // Caches what the subject's prompts share.
+  call.home =
+      split.others.empty() ? common::UpstreamName() : *split.others.front();
+  SeekStart(call, ByLane(call, ranked, split));
 }
 
 // A workspace that asks for more than its share has as many of its requests, of
@@ -178,13 +172,13 @@
 
 void Gateway::SendWithoutScheduler(
     Call& call, const std::vector<const common::UpstreamName*>& candidates) {
-  const auto ranked =
-      ByLane(call, balancing::RankBySubject(
-                       common::SubjectOf(*call.facts.prompt), candidates));
+  const auto ranked = balancing::RankBySubject(
+      common::SubjectOf(*call.facts.prompt), candidates);
+  const auto wanted = ByLane(call, ranked, balancing::SplitLane({}, ranked));
   std::vector<int> loads;
-  loads.reserve(ranked.size());
-  for (const auto* it : ranked) loads.push_back(in_flight_[*it]);
-  const auto* name = balancing::PickWithBoundedLoad(ranked, loads);
+  loads.reserve(wanted.size());
+  for (const auto* it : wanted) loads.push_back(in_flight_[*it]);
+  const auto* name = balancing::PickWithBoundedLoad(wanted, loads);
   SendTo(call, *name,
          {.cache_source =
               call.home == *name ? common::UpstreamName() : call.home});
--- a/Source/Core/Gateway/StartClient.cpp
+++ b/Source/Core/Gateway/StartClient.cpp
@@ -102,7 +102,7 @@
     Take(*envelope, *hello);
   } else if (const auto* reply =
                  std::get_if<protocol::StartReply>(&envelope->body)) {
-    Take(*envelope, *reply);
+    Take(*reply);
   } else {
     Log(Subsystem::kTransport, LogLevel::kWarning,
         "event=message_misdirected sender={}", envelope->sender.value);
@@ -127,8 +127,7 @@
   Carry(actions);
 }
 
-void StartClient::Take(const protocol::SchedulingEnvelope& /*from*/,
-                       const protocol::StartReply& reply) {
+void StartClient::Take(const protocol::StartReply& reply) {
   const auto offer = book_.offers.find(reply.number);
   if (offer == book_.offers.end()) return;
   const common::UpstreamName name = offer->second.upstream;
@@ -171,9 +170,9 @@
 }
 
 void StartClient::SendHellos(const InProgress& in_progress) {
-  std::vector<protocol::WorkspaceRow> not_offered;
   for (const auto& [upstream, it] : engines_) {
     const auto numbers = in_progress.find(upstream);
+    std::vector<protocol::WorkspaceRow> not_offered;
     if (IsAnswering(upstream)) {
       for (const auto& [workspace, tokens] : std::exchange(not_offered_, {})) {
         not_offered.push_back({.workspace = workspace, .asked = tokens});
@@ -188,7 +187,7 @@
                          .in_progress = numbers == in_progress.end()
                                             ? std::vector<std::uint64_t>()
                                             : numbers->second,
-                         .not_offered = std::exchange(not_offered, {})});
+                         .not_offered = std::move(not_offered)});
   }
 }
 
--- a/Source/Core/Gateway/StartClient.h
+++ b/Source/Core/Gateway/StartClient.h
@@ -100,8 +100,7 @@
   void Do(const balancing::NoScheduler& action);
   void Take(const protocol::SchedulingEnvelope& from,
             const protocol::SchedulerHello& hello);
-  void Take(const protocol::SchedulingEnvelope& from,
-            const protocol::StartReply& reply);
+  void Take(const protocol::StartReply& reply);
   void SendTo(const common::UpstreamName& upstream,
               protocol::SchedulingBody body);
   void SendHellos(const InProgress& in_progress);
