Refuse an Idempotency-Key that is used again with another body

Cause: an agent's key table knew keys only, so a second body under a known key received the first body's result as its own, or waited for it. Ruled out: a check at the router, which sees the body but not the result; only the agent that ran the key knows what it was used for. Change: the table keeps the fingerprint of the accepted request (workspace, kind and body, as dispatched already) and answers key_reused (422, may-have-run, as the key may have). A barred key has not run and may carry another body. Offers of one key in the agent's tests now carry one body, as resends do. Test: KeyWithAnotherBodyIsRefusedAsReused names the failure; before the change a second body got the result by replay.

--- a/Source/Core/Admission/KeyTable.cpp
+++ b/Source/Core/Admission/KeyTable.cpp
@@ -39,11 +39,20 @@
 
 }  // namespace
 
-KeyAnswer Accept(KeyTable& table, const std::string& key,
-                 std::uint64_t revision, common::TimePoint now) {
+KeyAnswer Accept(KeyTable& table, const KeyOffer& offer,
+                 common::TimePoint now) {
+  const auto& [key, fingerprint, revision] = offer;
+  const KeyEntry accepted{.fingerprint = fingerprint,
+                          .state = KeyState::kAccepted,
+                          .revision = revision,
+                          .changed = now};
   const auto it = table.entries.find(key);
   if (it != table.entries.end()) {
     KeyEntry& entry = it->second;
+    // A barred key has not run, so another request may take it.
+    if (entry.state != KeyState::kBarred && entry.fingerprint != fingerprint) {
+      return KeyAnswer::kReused;
+    }
     switch (entry.state) {
       case KeyState::kAccepted:
       case KeyState::kBegun:
@@ -57,8 +66,7 @@
       case KeyState::kBarred:
         if (revision <= entry.revision) return KeyAnswer::kBarred;
         table.finished.erase({entry.changed, key});
-        entry = {
-            .state = KeyState::kAccepted, .revision = revision, .changed = now};
+        entry = accepted;
         return KeyAnswer::kRun;
     }
   }
@@ -66,9 +74,7 @@
     return BarUnseen(table, key, revision, now) ? KeyAnswer::kFull
                                                 : KeyAnswer::kOverfull;
   }
-  table.entries.emplace(key, KeyEntry{.state = KeyState::kAccepted,
-                                      .revision = revision,
-                                      .changed = now});
+  table.entries.emplace(key, accepted);
   return KeyAnswer::kRun;
 }
 
--- a/Source/Core/Admission/KeyTable.h
+++ b/Source/Core/Admission/KeyTable.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Common/Clock.h"
+#include "Common/Types.h"
 
 // The keys of non-idempotent requests that this incarnation has seen.
 namespace shallotbeam::admission {
@@ -34,6 +35,8 @@
 };
 
 struct KeyEntry {
+  // Of the request that was accepted with the key.
+  common::Fingerprint fingerprint = common::Fingerprint::kNone;
   KeyState state = KeyState::kAccepted;
   std::uint64_t revision = 0;
   std::size_t result_bytes = 0;
@@ -56,14 +59,19 @@
   kReplay,
   kForgotten,
   kUnknown,  // may have run
+  kReused,   // belongs to another request, which may have run
   kBarred,
   kFull,      // no room for another key; it is barred now
   kOverfull,  // no room even to bar the key, so nothing vouches for it
 };
 
 // Whether an attempt with this key may run; on kRun the key is accepted.
-KeyAnswer Accept(KeyTable& table, const std::string& key,
-                 std::uint64_t revision, common::TimePoint now);
+struct KeyOffer {
+  std::string key;
+  common::Fingerprint fingerprint = common::Fingerprint::kNone;
+  std::uint64_t revision = 0;
+};
+KeyAnswer Accept(KeyTable& table, const KeyOffer& offer, common::TimePoint now);
 
 void NoteBegun(KeyTable& table, const std::string& key);
 
--- a/Source/Core/Admission/Offers.cpp
+++ b/Source/Core/Admission/Offers.cpp
@@ -63,8 +63,10 @@
         {.verdict = Verdict::kMayHaveRun, .reason = Reason::kBoundElsewhere});
     return true;
   }
-  switch (
-      Accept(state.keys, attempt.key, event.binding_revision, context.now)) {
+  const KeyOffer offer{.key = attempt.key,
+                       .fingerprint = attempt.fingerprint,
+                       .revision = event.binding_revision};
+  switch (Accept(state.keys, offer, context.now)) {
     case KeyAnswer::kRun:
       return false;
     case KeyAnswer::kReplay:
@@ -82,6 +84,10 @@
           context, attempt,
           {.verdict = Verdict::kMayHaveRun, .reason = Reason::kUpstreamFailed});
       return true;
+    case KeyAnswer::kReused:
+      Reject(context, attempt,
+             {.verdict = Verdict::kMayHaveRun, .reason = Reason::kKeyReused});
+      return true;
     case KeyAnswer::kForgotten:
       Reject(context, attempt,
              {.verdict = Verdict::kMayHaveRun,
--- a/Source/Core/Common/Verdict.cpp
+++ b/Source/Core/Common/Verdict.cpp
@@ -13,7 +13,7 @@
     {Verdict::kCompleted, "completed"},
 }};
 
-constexpr std::array<std::pair<Reason, std::string_view>, 28> kReasonNames = {{
+constexpr std::array<std::pair<Reason, std::string_view>, 29> kReasonNames = {{
     {Reason::kNone, "none"},
     {Reason::kNoConfiguration, "no_configuration"},
     {Reason::kBadRequest, "bad_request"},
@@ -32,6 +32,7 @@
     {Reason::kStoreUnavailable, "store_unavailable"},
     {Reason::kBoundElsewhere, "bound_elsewhere"},
     {Reason::kKeyInProgress, "key_in_progress"},
+    {Reason::kKeyReused, "key_reused"},
     {Reason::kKeyTableFull, "key_table_full"},
     {Reason::kResultForgotten, "result_forgotten"},
     {Reason::kBarred, "barred"},
--- a/Source/Core/Common/Verdict.h
+++ b/Source/Core/Common/Verdict.h
@@ -37,6 +37,7 @@
   kStoreUnavailable,
   kBoundElsewhere,
   kKeyInProgress,
+  kKeyReused,
   kKeyTableFull,
   kResultForgotten,
   kBarred,
--- a/Source/Core/Runtime/Refusals.cpp
+++ b/Source/Core/Runtime/Refusals.cpp
@@ -55,6 +55,9 @@
       return "the key belongs to a process that is gone";
     case Reason::kKeyInProgress:
       return "a request with this key is in progress";
+    case Reason::kKeyReused:
+      return "the Idempotency-Key was used before for a request of another "
+             "kind or with another body";
     case Reason::kKeyTableFull:
       return "no room to remember another key";
     case Reason::kResultForgotten:
@@ -110,6 +113,7 @@
       return 409;
     case Reason::kBodyTooLarge:
       return 413;
+    case Reason::kKeyReused:
     case Reason::kPoisonous:
       return 422;
     case Reason::kQueueFull:
--- a/Source/UnitTests/Core/Admission/AgentHarness.h
+++ b/Source/UnitTests/Core/Admission/AgentHarness.h
@@ -85,11 +85,14 @@
 
   RequestOffered Offer(std::uint64_t sequence, const std::string& key = "",
                        std::uint64_t revision = 0) const {
+    // Sends of one key carry the same body.
+    const std::uint64_t body =
+        key.empty() ? sequence + 1 : std::hash<std::string>()(key);
     return {.id = Id(sequence),
             .router = kRouter,
             .workspace = Workspace("a"),
             .kind = kKind,
-            .fingerprint = static_cast<common::Fingerprint>(sequence + 1),
+            .fingerprint = static_cast<common::Fingerprint>(body),
             .time_left = seconds(30),
             .key = key,
             .bound_to = state.options.incarnation,
--- a/Source/UnitTests/Core/Admission/KeyTableTest.cpp
+++ b/Source/UnitTests/Core/Admission/KeyTableTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -149,13 +150,56 @@
   BOOST_CHECK_EQUAL(agent.state.running.size(), 1);
 }
 
+// Guards against a caller that uses a key again with another body and receives
+// the first body's result as its own, or waits for it.
+BOOST_AUTO_TEST_CASE(KeyWithAnotherBodyIsRefusedAsReused) {
+  Harness agent(Pool(1));
+  const RequestOffered first = agent.Offer(1, "k", 1);
+  RequestOffered other = agent.Offer(2, "k", 1);
+  other.fingerprint = agent.Offer(2).fingerprint;
+  BOOST_REQUIRE(first.fingerprint != other.fingerprint);
+
+  agent.Give(first);
+  agent.Take<StartUpstream>();
+  for (const bool ended : {false, true}) {
+    if (ended) agent.End(1, UpstreamOutcome::kCompleted);
+    agent.Take<ReplayResult>();
+    agent.Give(other);
+    const auto actions = std::exchange(agent.actions, {});
+    BOOST_CHECK(std::none_of(actions.begin(), actions.end(), [](auto& it) {
+      return std::holds_alternative<ReplayResult>(it) ||
+             std::holds_alternative<StartUpstream>(it);
+    }));
+    const auto reject = std::find_if(
+        actions.begin(), actions.end(),
+        [](auto& it) { return std::holds_alternative<RejectOffer>(it); });
+    BOOST_REQUIRE(reject != actions.end());
+    const auto& refusal = std::get<RejectOffer>(*reject).refusal;
+    BOOST_CHECK(refusal.reason == common::Reason::kKeyReused);
+    BOOST_CHECK(refusal.verdict == common::Verdict::kMayHaveRun);
+  }
+  // The first body's resend still receives its result.
+  agent.Give(agent.Offer(3, "k", 1));
+  BOOST_CHECK_EQUAL(agent.Take<ReplayResult>().size(), 1);
+}
+
+// Guards against a key lost to a caller whose first request with it never ran.
+BOOST_AUTO_TEST_CASE(BarredKeyMayCarryAnotherBody) {
+  KeyTable table;
+  const common::Fingerprint other{7};
+  BOOST_CHECK(Bar(table, "k", 1, kStart));
+  BOOST_CHECK(Accept(table, {.key = "k", .fingerprint = other, .revision = 2},
+                     kStart) == KeyAnswer::kRun);
+}
+
 // Guards against memory that grows with every revoke or refusal of one key.
 BOOST_AUTO_TEST_CASE(RepeatedBarsTakeNoMemory) {
   KeyTable table;
-  for (int i = 0; i < 1000; ++i) {
+  for (std::uint64_t i = 0; i < 1000; ++i) {
     const auto now = kStart + seconds(i);
     BOOST_CHECK(Bar(table, "k", i, now));
-    BOOST_CHECK(Accept(table, "k", i + 1, now) == KeyAnswer::kRun);
+    BOOST_CHECK(Accept(table, {.key = "k", .revision = i + 1}, now) ==
+                KeyAnswer::kRun);
     NoteNotRun(table, "k", now);
   }
   BOOST_CHECK_EQUAL(table.entries.size(), 1);
@@ -165,10 +209,14 @@
 // Guards against "not run" from a full table that can't remember the key.
 BOOST_AUTO_TEST_CASE(FullTableVouchesOnlyForWhatItRemembers) {
   KeyTable table{.options = {.max_keys = 1, .max_extra_barred = 1}};
-  BOOST_CHECK(Accept(table, "a", 1, kStart) == KeyAnswer::kRun);
-  BOOST_CHECK(Accept(table, "b", 1, kStart) == KeyAnswer::kFull);
-  BOOST_CHECK(Accept(table, "b", 1, kStart) == KeyAnswer::kBarred);
-  BOOST_CHECK(Accept(table, "c", 1, kStart) == KeyAnswer::kOverfull);
+  BOOST_CHECK(Accept(table, {.key = "a", .revision = 1}, kStart) ==
+              KeyAnswer::kRun);
+  BOOST_CHECK(Accept(table, {.key = "b", .revision = 1}, kStart) ==
+              KeyAnswer::kFull);
+  BOOST_CHECK(Accept(table, {.key = "b", .revision = 1}, kStart) ==
+              KeyAnswer::kBarred);
+  BOOST_CHECK(Accept(table, {.key = "c", .revision = 1}, kStart) ==
+              KeyAnswer::kOverfull);
   BOOST_CHECK(!Bar(table, "c", 1, kStart));
   BOOST_CHECK(Bar(table, "b", 1, kStart));
 }
@@ -178,20 +226,22 @@
 BOOST_AUTO_TEST_CASE(ResultsAreBoundedAndExpire) {
   KeyTable table{.options = {.max_result_bytes = 100}};
   for (const std::string key : {"a", "b", "c"}) {
-    Accept(table, key, 1, kStart);
+    Accept(table, {.key = key, .revision = 1}, kStart);
     NoteBegun(table, key);
   }
   BOOST_CHECK(NoteDone(table, "a", 60, kStart).empty());
   const std::vector<std::string> dropped =
       NoteDone(table, "b", 60, kStart + seconds(1));
   BOOST_CHECK(dropped == std::vector<std::string>{"a"});
-  BOOST_CHECK(Accept(table, "a", 9, kStart) == KeyAnswer::kForgotten);
-  BOOST_CHECK(Accept(table, "b", 1, kStart) == KeyAnswer::kReplay);
+  BOOST_CHECK(Accept(table, {.key = "a", .revision = 9}, kStart) ==
+              KeyAnswer::kForgotten);
+  BOOST_CHECK(Accept(table, {.key = "b", .revision = 1}, kStart) ==
+              KeyAnswer::kReplay);
   // Larger than the limit on its own.
   BOOST_CHECK_EQUAL(NoteDone(table, "c", 101, kStart + seconds(2)).size(), 2);
   BOOST_CHECK_EQUAL(table.result_bytes, 0);
 
-  Accept(table, "d", 1, kStart);
+  Accept(table, {.key = "d", .revision = 1}, kStart);
   NoteDone(table, "d", 10, kStart + seconds(3));
   BOOST_CHECK_EQUAL(Expire(table, kStart + std::chrono::minutes(11)).size(), 1);
   BOOST_CHECK_EQUAL(table.result_bytes, 0);
