Estimate a queue's wait without taking one stall for a rate

The refusal's inputs, now logged as event=wait_estimate, were wait_ms=20836 time_left_ms=20000 dispatches=39 interval_ms=534 stall_ms=17 and wait_ms=21363 dispatches=40 interval_ms=534: the first dispatch of the workspace, 534 ms after its queue began, was taken for the rate of all that waited. Ruled out: load of the machine; both failures have the same interval, and the agent that stayed served the queue in 2 s. Change: a rate known from n dispatches is extended over at most 5 n; an interval counts as at most 8 times the smoothed one; a stall counts once and not for each request ahead. Tests: OneSlowDispatchIsNoRate (the found case) and StallCountsOnce fail before; EstimateFollowsALowerRate guards the other side. The existing checks of the estimate are unchanged.

--- a/Source/Core/Routing/Actions.h
+++ b/Source/Core/Routing/Actions.h
@@ -81,6 +81,7 @@
   common::ProcessName agent;
   std::string_view cause;  // for example "direct"
   PassedOver passed_over;  // agents of the pool
+  std::string inputs;      // further key=value pairs, each after a space
 };
 
 // Everything accepted has been answered; the process may exit.
--- a/Source/Core/Routing/Dispatching.cpp
+++ b/Source/Core/Routing/Dispatching.cpp
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "Routing/Internal.h"
@@ -73,11 +75,16 @@
                           .value = NextBinding(request, binding)});
 }
 
-common::Duration WaitOf(Context& context, const Request& request) {
+WaitEstimate WaitOf(Context& context, const Request& request) {
   return EstimateWait(PoolOf(context, request).queue, request.workspace,
                       request.kind, request.urgency, context.now);
 }
 
+std::int64_t ToMilliseconds(common::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 // Refusal of a request for which the queue has no room or no time.
 std::optional<Reason> CheckQueue(Context& context, const Request& request) {
   const auto kind = context.state.config.kinds.find(request.kind);
@@ -88,7 +95,15 @@
       size.bytes + request.bytes > kind->second.max_queued_bytes) {
     return Reason::kQueueFull;
   }
-  if (context.now + WaitOf(context, request) > request.deadline) {
+  const WaitEstimate estimate = WaitOf(context, request);
+  if (context.now + estimate.wait > request.deadline) {
+    Log(context, request, "wait_estimate", common::ToString(Reason::kDeadlineTooShort),
+        fmt::format(" wait_ms={} time_left_ms={} dispatches={} interval_ms={} "
+                    "stall_ms={}",
+                    ToMilliseconds(estimate.wait),
+                    ToMilliseconds(request.deadline - context.now),
+                    estimate.dispatches, ToMilliseconds(estimate.interval),
+                    ToMilliseconds(estimate.stall)));
     return Reason::kDeadlineTooShort;
   }
   return std::nullopt;
@@ -244,7 +259,7 @@
         context, request,
         {.verdict = Verdict::kNotRun,
          .reason = *reason,
-         .retry_after = RetryAfter(context, WaitOf(context, request))});
+         .retry_after = RetryAfter(context, WaitOf(context, request).wait)});
   }
   Enqueue(context, request);
 }
--- a/Source/Core/Routing/Internal.h
+++ b/Source/Core/Routing/Internal.h
@@ -84,7 +84,7 @@
 void SendDemand(Context& context);
 
 void Log(Context& context, const Request& request, std::string_view decision,
-         std::string_view cause);
+         std::string_view cause, std::string inputs = {});
 // The agent runs and is the incarnation that the request is bound to.
 bool IsReachable(const Context& context, const Owner& owner);
 std::string NextBinding(Request& request, Binding binding);
--- a/Source/Core/Routing/Router.cpp
+++ b/Source/Core/Routing/Router.cpp
@@ -88,7 +88,7 @@
 namespace internal {
 
 void Log(Context& context, const Request& request, std::string_view decision,
-         std::string_view cause) {
+         std::string_view cause, std::string inputs) {
   context.Do(LogDecision{
       .id = request.id,
       .workspace = request.workspace,
@@ -96,7 +96,8 @@
       .decision = decision,
       .agent = request.agent,
       .cause = cause,
-      .passed_over = PassedOverIn(context.state.agents, request.pool)});
+      .passed_over = PassedOverIn(context.state.agents, request.pool),
+      .inputs = std::move(inputs)});
 }
 
 void NoteStoreRevision(RouterState& state, std::uint64_t revision) {
--- a/Source/Core/Routing/WorkQueue.cpp
+++ b/Source/Core/Routing/WorkQueue.cpp
@@ -1,6 +1,7 @@
 #include "Routing/WorkQueue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shallotbeam::routing {
 
@@ -42,10 +43,25 @@
 
 // A share of the difference per dispatch.
 constexpr int kSmoothing = 8;
+// A longer interval counts as this many times the smoothed one, but not as less
+// than the shortest stall: one stall is no rate, a slower rate comes again.
+constexpr int kMostGrowth = 8;
+constexpr common::Duration kShortestStall = std::chrono::milliseconds(100);
+// A rate known from n dispatches is not extended over more than this many
+// times n.
+constexpr int kMostExtension = 5;
+// Dispatches beyond this number are not counted.
+constexpr int kManyDispatches = 1'000'000;
 
 void NoteDispatch(WorkspaceQueue& workspace, common::TimePoint now) {
-  const common::Duration interval = now - workspace.last_progress;
+  const common::Duration longest =
+      workspace.dispatches == 0
+          ? common::Duration::max()
+          : std::max(kMostGrowth * workspace.dispatch_interval, kShortestStall);
+  const common::Duration interval =
+      std::min(now - workspace.last_progress, longest);
   workspace.last_progress = now;
+  workspace.dispatches = std::min(workspace.dispatches + 1, kManyDispatches);
   // Starting from zero would promise too short waits for many dispatches.
   workspace.dispatch_interval =
       workspace.dispatch_interval.count() == 0
@@ -123,10 +139,10 @@
           .bytes = it->second.bytes};
 }
 
-common::Duration EstimateWait(const WorkQueue& queue,
-                              const common::WorkspaceName& workspace,
-                              const common::KindName& kind,
-                              common::Urgency urgency, common::TimePoint now) {
+WaitEstimate EstimateWait(const WorkQueue& queue,
+                          const common::WorkspaceName& workspace,
+                          const common::KindName& kind, common::Urgency urgency,
+                          common::TimePoint now) {
   const auto it = queue.workspaces.find(workspace);
   if (it == queue.workspaces.end() || it->second.waiting == 0) return {};
   const WorkspaceQueue& owner = it->second;
@@ -142,11 +158,19 @@
   }
   ahead = std::min<double>((ahead + 1) * weights / UrgencyWeight(urgency),
                            owner.waiting + 1);
-  // The dispatch that is overdue counts as if it came now.
+  const common::Duration interval = owner.dispatch_interval;
   const common::Duration stall = now - owner.last_progress;
-  common::Duration interval = owner.dispatch_interval;
-  if (stall > interval) interval += (stall - interval) / kSmoothing;
-  return std::chrono::duration_cast<common::Duration>(interval * ahead);
+  const double known =
+      std::min<double>(ahead, static_cast<double>(kMostExtension) *
+                                  static_cast<double>(owner.dispatches));
+  common::Duration wait =
+      std::chrono::duration_cast<common::Duration>(interval * known);
+  // Without a dispatch nothing tells whether there is a stall.
+  if (owner.dispatches > 0 && stall > interval) wait += stall - interval;
+  return {.wait = wait,
+          .dispatches = static_cast<int>(std::ceil(ahead)),
+          .interval = interval,
+          .stall = stall};
 }
 
 std::vector<protocol::WorkspaceDemand> SummariseDemand(const WorkQueue& queue,
--- a/Source/Core/Routing/WorkQueue.h
+++ b/Source/Core/Routing/WorkQueue.h
@@ -34,6 +34,7 @@
   // Smoothed time between two dispatches while requests wait; zero until the
   // first one.
   common::Duration dispatch_interval{};
+  int dispatches = 0;  // that the interval is known from
   // Last dispatch, or when the first request began to wait.
   common::TimePoint last_progress;
 };
@@ -67,12 +68,20 @@
 QueueSize SizeOf(const WorkQueue& queue, const common::WorkspaceName& workspace,
                  const common::KindName& kind);
 
-// Expected time until a request queued now is dispatched. Zero while nothing
-// is known of the rate; grows while dispatches stand still.
-common::Duration EstimateWait(const WorkQueue& queue,
-                              const common::WorkspaceName& workspace,
-                              const common::KindName& kind,
-                              common::Urgency urgency, common::TimePoint now);
+// Expected time until a request queued now is dispatched, and what it follows
+// from.
+struct WaitEstimate {
+  // Zero while nothing is known of the rate; grows while dispatches stand
+  // still.
+  common::Duration wait{};
+  int dispatches = 0;           // until it is this request's turn
+  common::Duration interval{};  // between two dispatches
+  common::Duration stall{};     // since the last one
+};
+WaitEstimate EstimateWait(const WorkQueue& queue,
+                          const common::WorkspaceName& workspace,
+                          const common::KindName& kind, common::Urgency urgency,
+                          common::TimePoint now);
 
 // Forgets workspaces without waiting requests for which `keep` is false.
 template <typename Keep>
--- a/Source/Core/Runtime/RouterEngine.cpp
+++ b/Source/Core/Runtime/RouterEngine.cpp
@@ -276,11 +276,12 @@
 void RouterEngine::Do(const routing::LogDecision& action) {
   common::Log(common::Subsystem::kRouting, common::LogLevel::kInfo,
               "event={} request={} workspace={} kind={} agent={} cause={} "
-              "busy={} silent={} leaving={} not_serving={}",
+              "busy={} silent={} leaving={} not_serving={}{}",
               action.decision, common::ToString(action.id),
               action.workspace.value, action.kind.value, action.agent.value,
               action.cause, action.passed_over.busy, action.passed_over.silent,
-              action.passed_over.leaving, action.passed_over.not_serving);
+              action.passed_over.leaving, action.passed_over.not_serving,
+              action.inputs);
 }
 
 void RouterEngine::Do(const routing::DrainCompleted&) {
--- a/Source/UnitTests/Core/Routing/WorkQueueTest.cpp
+++ b/Source/UnitTests/Core/Routing/WorkQueueTest.cpp
@@ -33,7 +33,7 @@
 }
 
 common::Duration Wait(const WorkQueue& queue, common::TimePoint now) {
-  return EstimateWait(queue, kWorkspace, kChat, Urgency::kNormal, now);
+  return EstimateWait(queue, kWorkspace, kChat, Urgency::kNormal, now).wait;
 }
 
 }  // namespace
@@ -187,6 +187,41 @@
   BOOST_CHECK(last < seconds(60));
 }
 
+// Guards against a refusal while there is room, found with a router that began
+// to drain a queue: its first dispatch came after 0.5 s, which was taken for the
+// time of each of the 39 dispatches ahead, 20.8 s in all, of 20 s allowed.
+BOOST_AUTO_TEST_CASE(OneSlowDispatchIsNoRate) {
+  WorkQueue queue;
+  for (int i = 0; i < 39; ++i) PushChat(queue, i);
+  const common::TimePoint now = kStart + milliseconds(534);
+  Pop(queue, kWorkspace, now);
+  BOOST_CHECK(Wait(queue, now + milliseconds(17)) < seconds(20));
+}
+
+// Guards against a refusal while there is room: a stall was taken for the time
+// of a dispatch, during it and after it.
+BOOST_AUTO_TEST_CASE(StallCountsOnce) {
+  WorkQueue queue;
+  common::TimePoint now = kStart;
+  for (int i = 0; i < 140; ++i) PushChat(queue, i, now);
+  for (int i = 0; i < 100; ++i) Pop(queue, kWorkspace, now += milliseconds(10));
+  now += seconds(4);
+  BOOST_CHECK(Wait(queue, now) >= seconds(4));
+  BOOST_CHECK(Wait(queue, now) < seconds(5));
+  Pop(queue, kWorkspace, now);
+  BOOST_CHECK(Wait(queue, now) < seconds(5));
+}
+
+// Guards against an estimate that stays low when service has become slow.
+BOOST_AUTO_TEST_CASE(EstimateFollowsALowerRate) {
+  WorkQueue queue;
+  common::TimePoint now = kStart;
+  for (int i = 0; i < 140; ++i) PushChat(queue, i, now);
+  for (int i = 0; i < 100; ++i) Pop(queue, kWorkspace, now += milliseconds(10));
+  for (int i = 0; i < 20; ++i) Pop(queue, kWorkspace, now += seconds(1));
+  BOOST_CHECK(Wait(queue, now) > seconds(15));
+}
+
 // Guards against an estimate for background work as if it were alone.
 BOOST_AUTO_TEST_CASE(EstimateCountsTheShareOfOtherKinds) {
   WorkQueue queue;
@@ -196,9 +231,10 @@
   }
   for (int i = 0; i < 20; ++i) Pop(queue, kWorkspace, now += milliseconds(10));
   const auto background =
-      EstimateWait(queue, kWorkspace, kKinds[0], Urgency::kBackground, now);
+      EstimateWait(queue, kWorkspace, kKinds[0], Urgency::kBackground, now)
+          .wait;
   const auto urgent =
-      EstimateWait(queue, kWorkspace, kKinds[2], Urgency::kUrgent, now);
+      EstimateWait(queue, kWorkspace, kKinds[2], Urgency::kUrgent, now).wait;
   BOOST_CHECK(background == milliseconds(90));
   BOOST_CHECK(urgent == milliseconds(810));
 }
