Space polls of the store by the deployment's limits for changes

Change: the longest pause follows the limits of the deployment's settings, less a second for the poll and a busy host; it never makes the copy older than a whole wait of a poll, which longer pauses after a late change would have done. Tests: ConstantChangesTakeFewCalls, AgeStaysBoundedWithLongPauses.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -18,6 +18,9 @@
 // A long poll may miss changes for up to this long while the store compacts its
 // history.
 constexpr common::Duration kSilentPoll = milliseconds(1'100);
+// Of the time within which a change must be in force, the part for a poll of a
+// slow store and for a host without processor time.
+constexpr common::Duration kChangeMargin = std::chrono::seconds(1);
 // Intervals of the checks of connections.
 constexpr common::Duration kCheckInterval = milliseconds(250);
 constexpr common::Duration kLoadLineInterval = std::chrono::seconds(1);
@@ -53,7 +56,13 @@
                           .max_offers = settings_.max_offers}},
               environment_.clock, environment_.send,
               [this](const StartOutcome& it) { OnStartOutcome(it); }),
-      random_(std::random_device()()) {}
+      random_(std::random_device()()) {
+  const common::Duration limit =
+      std::min(settings_.config_limit, settings_.drain_limit) - kChangeMargin;
+  store_.options.longest_change_pause =
+      std::max(std::chrono::duration_cast<milliseconds>(limit),
+               store_.options.change_pause);
+}
 
 absl::Status Gateway::Listen() { return callers_.Listen(settings_.callers); }
 
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -33,6 +33,13 @@
       Milliseconds("revocation-limit-ms",
                    "longest time for which a withdrawn credential is served",
                    kShortest, kLongest, &target->revocation_limit),
+      Milliseconds("config-limit-ms",
+                   "time within which a new configuration must be in force",
+                   kShortest, kLongest, &target->config_limit),
+      Milliseconds("drain-limit-ms",
+                   "time within which a draining upstream must get no more "
+                   "requests",
+                   kShortest, kLongest, &target->drain_limit),
       Seconds("stop-limit-s", "time after which a stopped process is killed",
               kShortest, kLongest, &target->stop_limit),
       settings::Number("max-descriptors", "file descriptors of this process",
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -22,6 +22,10 @@
 
   // A withdrawn credential must not be served for longer than this.
   std::chrono::milliseconds revocation_limit{5'000};
+  // A change of the configuration, and an upstream that drains, must have taken
+  // effect after these times.
+  std::chrono::milliseconds config_limit{2'000};
+  std::chrono::milliseconds drain_limit{2'000};
   // A stopped process is killed after this time.
   std::chrono::milliseconds stop_limit{8'000};
   int max_descriptors = 2'870;
--- a/Source/Core/Platform/StoreSession.cpp
+++ b/Source/Core/Platform/StoreSession.cpp
@@ -48,6 +48,17 @@
   session.list_after.clear();
 }
 
+std::chrono::milliseconds NextChangePause(const StoreSession& session,
+                                          common::TimePoint now) {
+  const StoreSessionOptions& options = session.options;
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - session.confirmed.value_or(now));
+  const auto pause =
+      std::min({session.change_pause * 2, options.longest_change_pause,
+                options.poll_wait - age});
+  return std::max(pause, options.change_pause);
+}
+
 }  // namespace
 
 std::optional<StoreCall> NextCall(StoreSession& session,
@@ -111,11 +122,8 @@
       session.revisions[it.item.key] = it.item.revision;
     }
   }
-  session.change_pause =
-      result.changes.empty()
-          ? std::chrono::milliseconds(0)
-          : std::clamp(session.change_pause * 2, session.options.change_pause,
-                       session.options.longest_change_pause);
+  session.change_pause = result.changes.empty() ? std::chrono::milliseconds(0)
+                                                : NextChangePause(session, now);
   session.next_call = now + session.change_pause;
   news.changes = result.changes;
   return news;
--- a/Source/Core/Platform/StoreSession.h
+++ b/Source/Core/Platform/StoreSession.h
@@ -23,8 +23,9 @@
   std::chrono::milliseconds poll_wait{3'200};
   std::chrono::milliseconds shortest_poll_wait{200};
   // Pause after a poll that brought changes, so that changes in quick
-  // succession come with one poll; longer while each poll brings some. Changes
-  // must be in force within 2 s.
+  // succession come with one poll; longer while each poll brings some, but not
+  // so long that the copy becomes older than `poll_wait`. The longest one
+  // delays a change, which must be in force within 2 s in most deployments.
   std::chrono::milliseconds change_pause{300};
   std::chrono::milliseconds longest_change_pause{1'000};
   // Pause after a failed call, doubled up to the longest.
--- a/Source/UnitTests/Core/Platform/StoreSessionTest.cpp
+++ b/Source/UnitTests/Core/Platform/StoreSessionTest.cpp
@@ -102,6 +102,41 @@
                             session.options.shortest_poll_wait + 10ms);
 }
 
+// Guards against credentials that are refused while the store is well and each
+// poll brings changes near its end: long pauses then add to a copy that is old
+// already.
+BOOST_AUTO_TEST_CASE(AgeStaysBoundedWithLongPauses) {
+  session.options.longest_change_pause = 2s;
+  ListAll({}, 1);
+  common::Duration oldest{0};
+  for (std::uint64_t revision = 2; revision < 40; ++revision) {
+    while (clock.Now() < session.next_call) clock.Advance(10ms);
+    const PollCall poll = Poll();
+    clock.Advance(poll.wait - 10ms);
+    oldest = std::max(oldest, *AgeOf(session, clock.Now()));
+    OnChanges(session, clock.Now(), Put("a", revision));
+  }
+  BOOST_CHECK(oldest <= session.options.poll_wait +
+                            session.options.change_pause +
+                            session.options.shortest_poll_wait + 10ms);
+}
+
+// Guards against a call of the store for each of many changes.
+BOOST_AUTO_TEST_CASE(ConstantChangesTakeFewCalls) {
+  session.options.longest_change_pause = 2s;
+  ListAll({}, 1);
+  const common::TimePoint start = clock.Now();
+  int calls = 0;
+  for (std::uint64_t revision = 2; clock.Now() - start < 60s; ++revision) {
+    while (clock.Now() < session.next_call) clock.Advance(10ms);
+    Poll();
+    ++calls;
+    clock.Advance(10ms);
+    OnChanges(session, clock.Now(), Put("a", revision));
+  }
+  BOOST_CHECK_LE(calls, 35);
+}
+
 // Guards against items that were removed while the history was not known.
 BOOST_AUTO_TEST_CASE(NewListRemovesWhatItNoLongerHas) {
   ListAll({Item("a", 1), Item("b", 2)}, 5);
