--- a/Source/Shallotbeam/Commands.h
+++ b/Source/Shallotbeam/Commands.h
@@ -22,6 +22,8 @@
 int ConfigPublish(const Arguments& arguments, const Console& console);
 int ConfigShow(const Arguments& arguments, const Console& console);
 int ConfigStatus(const Arguments& arguments, const Console& console);
+// Prints what the logs of several processes say about one request.
+int Explain(const Arguments& arguments, const Console& console);
 
 }  // namespace shallotbeam::commands
 
--- a/Source/Shallotbeam/Main.cpp
+++ b/Source/Shallotbeam/Main.cpp
@@ -20,6 +20,7 @@
     "  config show          print the configuration in force\n"
     "  config status        print which version each process uses\n"
     "  status               print queues, shares and upstreams\n"
+    "  explain FILE...      print what logs say about one request\n"
     "\n"
     "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 someone else published\n"
     "meanwhile, 4 the store or a process gave no answer.\n"
@@ -50,6 +51,7 @@
   }
   if (command == "router") return commands::Router(arguments);
   if (command == "status") return commands::Status(arguments, console);
+  if (command == "explain") return commands::Explain(arguments, console);
   if (command == "config" && !arguments.empty()) {
     const std::string action = arguments.front();
     arguments.erase(arguments.begin());
