Leave sockets that libnng does not close to the end of the process

Ruled out: the drain (all answers were given, the network threads had ended) and the actors (their worker was idle). Change: sockets are closed on threads of their own; the mailbox waits 0.5 s for them and says so if some remain. Closing an unused peer's socket can no longer block a running process either. Test: MailboxesCloseUnderTraffic hangs before.

--- a/Source/Core/Transport/Mailbox.cpp
+++ b/Source/Core/Transport/Mailbox.cpp
@@ -4,6 +4,8 @@
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 
+#include <chrono>
+#include <condition_variable>
 #include <utility>
 
 #include "Common/Logging.h"
@@ -18,6 +20,9 @@
 constexpr nng_duration kReceiveTimeoutMs = 100;
 constexpr nng_duration kReconnectMinMs = 50;
 constexpr nng_duration kReconnectMaxMs = 1000;
+// Closing takes some milliseconds. Sockets that take longer end with the
+// process.
+constexpr std::chrono::milliseconds kCloseLimit{500};
 
 std::string UrlOf(const common::Endpoint& endpoint) {
   return absl::StrCat("tcp://", endpoint.address, ":", endpoint.port);
@@ -25,11 +30,45 @@
 
 }  // namespace
 
+// Closes sockets on threads of its own. libnng (1.5.2) waits without limit for
+// the ends of a socket's pipes, and at times they never come.
+class Mailbox::Closer : public std::enable_shared_from_this<Closer> {
+ public:
+  void Close(nng_socket socket) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      ++open_;
+    }
+    std::thread([self = shared_from_this(), socket] {
+      nng_close(socket);
+      const std::lock_guard<std::mutex> lock(self->mutex_);
+      --self->open_;
+      self->changed_.notify_all();
+    }).detach();
+  }
+
+  // Returns the number of sockets that are not closed after `limit`.
+  int Await(std::chrono::milliseconds limit) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait_for(lock, limit, [this] { return open_ == 0; });
+    return open_;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  int open_ = 0;
+};
+
 struct Mailbox::Outbox {
+  std::shared_ptr<Closer> closer;
   nng_socket socket = NNG_SOCKET_INITIALIZER;
   bool used = true;  // since the last CloseUnused()
 
-  ~Outbox() { nng_close(socket); }
+  explicit Outbox(std::shared_ptr<Closer> closer) : closer(std::move(closer)) {}
+  ~Outbox() { closer->Close(socket); }
+  Outbox(const Outbox&) = delete;
+  Outbox& operator=(const Outbox&) = delete;
 };
 
 absl::StatusOr<std::unique_ptr<Mailbox>> Mailbox::Open(
@@ -50,14 +89,22 @@
 }
 
 Mailbox::Mailbox(std::uint32_t inbox, Receiver receiver)
-    : inbox_(inbox), receiver_(std::move(receiver)) {
+    : inbox_(inbox),
+      receiver_(std::move(receiver)),
+      closer_(std::make_shared<Closer>()) {
   thread_ = std::thread([this] { ReceiveLoop(); });
 }
 
 Mailbox::~Mailbox() {
   stopping_ = true;
   thread_.join();
-  nng_close(nng_socket{inbox_});
+  closer_->Close(nng_socket{inbox_});
+  outboxes_.clear();
+  const int open = closer_->Await(kCloseLimit);
+  if (open == 0) return;
+  common::Log(common::Subsystem::kTransport, common::LogLevel::kWarning,
+              "event=close_timed_out sockets={} limit_ms={}", open,
+              kCloseLimit.count());
 }
 
 void Mailbox::ReceiveLoop() {
@@ -76,7 +123,7 @@
 Mailbox::Outbox* Mailbox::OutboxOf(const common::Endpoint& peer) {
   const auto it = outboxes_.find(peer);
   if (it != outboxes_.end()) return it->second.get();
-  auto outbox = std::make_unique<Outbox>();
+  auto outbox = std::make_unique<Outbox>(closer_);
   int ec = nng_push0_open(&outbox->socket);
   if (ec == 0) {
     nng_socket_set_int(outbox->socket, NNG_OPT_SENDBUF, kSendBufferMessages);
--- a/Source/Core/Transport/Mailbox.h
+++ b/Source/Core/Transport/Mailbox.h
@@ -50,6 +50,7 @@
   TrafficCount Count() const;
 
  private:
+  class Closer;
   struct Outbox;
 
   Mailbox(std::uint32_t inbox, Receiver receiver);
@@ -59,6 +60,7 @@
   std::uint32_t inbox_;  // nng socket id
   Receiver receiver_;
   std::atomic<bool> stopping_ = false;
+  std::shared_ptr<Closer> closer_;
   std::mutex mutex_;  // guards outboxes_
   std::map<common::Endpoint, std::unique_ptr<Outbox>> outboxes_;
   std::atomic<std::uint64_t> messages_sent_ = 0;
--- a/Source/TestTools/EngineStandIn/Engine.cpp
+++ b/Source/TestTools/EngineStandIn/Engine.cpp
@@ -33,6 +33,17 @@
   return transport::HeaderOf(exchange->Request(), name);
 }
 
+// Names the send of a caller, in the body or as parameter of the content type.
+std::string TagOf(const Exchange& exchange, const json& request) {
+  if (request.is_object() && request.contains("tag")) {
+    return request.value("tag", "");
+  }
+  constexpr std::string_view kParameter = "; tag=";
+  const std::string type = Header(exchange, "Content-Type");
+  const auto at = type.find(kParameter);
+  return at == std::string::npos ? "" : type.substr(at + kParameter.size());
+}
+
 }  // namespace
 
 Engine::Engine(boost::asio::io_context& context, EngineOptions options)
@@ -41,6 +52,15 @@
       cache_(options_.model.cache_tokens),
       random_(options_.seed),
       load_timer_(context) {
+  if (!options_.runs_file.empty()) {
+    std::ifstream earlier(options_.runs_file);
+    for (std::string line; std::getline(earlier, line);) {
+      json run = json::parse(line, nullptr, false);
+      // The last line is broken off if the process was killed while it wrote.
+      if (run.is_object()) runs_.push_back(std::move(run));
+    }
+    runs_file_.open(options_.runs_file, std::ios::app);
+  }
   SampleLoad();
 }
 
@@ -99,7 +119,7 @@
   auto job = std::make_shared<Job>(
       Job{.exchange = exchange,
           .workspace = Header(exchange, runtime::kWorkspaceHeader),
-          .tag = request.value("tag", ""),
+          .tag = TagOf(exchange, request),
           .stream = request.value("stream", false),
           .crash = prompt.find(options_.crash_mark) != std::string::npos,
           .run = request.value("name_run", false)
@@ -124,7 +144,7 @@
   Admit(std::make_shared<Job>(
       Job{.exchange = exchange,
           .workspace = Header(exchange, runtime::kWorkspaceHeader),
-          .tag = request.is_object() ? request.value("tag", "") : "",
+          .tag = TagOf(exchange, request),
           .plain = true,
           .crash = body.find(options_.crash_mark) != std::string::npos,
           .timer = boost::asio::steady_timer(context_)}));
@@ -159,8 +179,10 @@
     ++runs_by_key_[key];
     const auto begun = std::chrono::duration_cast<std::chrono::milliseconds>(
         Clock::now().time_since_epoch());
-    runs_.push_back(
-        {{"key", key}, {"tag", job->tag}, {"begun_ms", begun.count()}});
+    const json run = {
+        {"key", key}, {"tag", job->tag}, {"begun_ms", begun.count()}};
+    runs_.push_back(run);
+    if (runs_file_.is_open()) runs_file_ << run.dump() << std::endl;
   }
   if (job->plain) {
     service_[job->workspace] += 1;
--- a/Source/TestTools/EngineStandIn/Engine.h
+++ b/Source/TestTools/EngineStandIn/Engine.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -34,6 +35,8 @@
   // A request whose body contains it ends the process.
   std::string crash_mark = "CRASH-ENGINE";
   std::uint64_t seed = 1;
+  // Keeps the record of runs with keys over restarts; empty for none.
+  std::string runs_file;
 };
 
 // Stand-in for a model engine (POST /v1/completions, streamed or whole) and for
@@ -114,6 +117,7 @@
   std::map<std::string, double> service_;
   std::map<std::string, int> runs_by_key_;
   nlohmann::json runs_ = nlohmann::json::array();  // of requests with keys
+  std::ofstream runs_file_;
 };
 
 }  // namespace shallotbeam::engine_stand_in
--- a/Source/TestTools/EngineStandIn/Main.cpp
+++ b/Source/TestTools/EngineStandIn/Main.cpp
@@ -36,7 +36,9 @@
       "crash-mark", po::value<std::string>()->default_value("CRASH-ENGINE"),
       "text in a request that ends the process")(
       "seed", po::value<std::uint64_t>()->default_value(1),
-      "seed of injected errors");
+      "seed of injected errors")(
+      "runs-file", po::value<std::string>()->default_value(""),
+      "file that keeps the runs with keys over restarts");
   return options;
 }
 
@@ -56,7 +58,8 @@
                 .refuse_over_limit = values["refuse-over-limit"].as<bool>()},
       .load_lag = std::chrono::milliseconds(values["load-lag-ms"].as<int>()),
       .crash_mark = values["crash-mark"].as<std::string>(),
-      .seed = values["seed"].as<std::uint64_t>()};
+      .seed = values["seed"].as<std::uint64_t>(),
+      .runs_file = values["runs-file"].as<std::string>()};
 }
 
 }  // namespace
--- a/Source/TestTools/Load/Fleet.cpp
+++ b/Source/TestTools/Load/Fleet.cpp
@@ -145,6 +145,8 @@
       engine.arguments.push_back("--" + option);
       if (value != "true") engine.arguments.push_back(value);
     }
+    engine.arguments.push_back("--runs-file");
+    engine.arguments.push_back(options_.work_folder + "/" + name + ".runs");
     const std::string upstream = common::ToString(engine.http);
     if (options_.engines_only) continue;
     FleetProcess& agent =
--- a/Source/TestTools/ProcessScenarios/Callers.cpp
+++ b/Source/TestTools/ProcessScenarios/Callers.cpp
@@ -63,11 +63,13 @@
 
 std::size_t Callers::Send(CallOptions options) {
   const std::size_t index = calls_.size();
-  const json body = {{"tag", std::to_string(index)},
-                     {"prompt", options.crashes ? "CRASH-ENGINE" : "innocent"},
-                     {"max_tokens", options.tokens},
-                     {"stream", options.stream},
-                     {"name_run", options.stream}};
+  json body = {{"prompt", options.crashes ? "CRASH-ENGINE" : "innocent"},
+               {"max_tokens", options.tokens},
+               {"stream", options.stream},
+               {"name_run", options.stream}};
+  // All sends of one key carry the same body.
+  const bool keyed = options.ticket || !options.key.empty();
+  if (!keyed) body["tag"] = std::to_string(index);
   calls_.push_back({.options = std::move(options),
                     .body = body.dump(),
                     .sent = Clock::now()});
@@ -117,6 +119,8 @@
   Call& call = calls_[index];
   auto request = RequestOf(call.options, "/v1/requests");
   request.body = call.body;
+  request.headers.set("Content-Type",
+                      "application/json; tag=" + std::to_string(index));
   auto verdict = std::make_shared<std::string>();
   transport::CallHandlers handlers;
   handlers.on_head = [this, index, verdict](const auto& head) {
--- a/Source/TestTools/ProcessScenarios/Callers.h
+++ b/Source/TestTools/ProcessScenarios/Callers.h
@@ -39,8 +39,9 @@
   std::chrono::milliseconds deadline{15'000};
 };
 
-// One send. Its tag, the position in the list of calls, is part of its body, so
-// that responses and the engines' records name the send they belong to.
+// One send. Its tag, the position in the list of calls, is part of its body, or
+// with a key of its content type, so that responses and the engines' records
+// name the send they belong to.
 struct Call {
   CallOptions options;
   std::string body;
--- a/Source/TestTools/ProcessScenarios/ProcessChecks.cpp
+++ b/Source/TestTools/ProcessScenarios/ProcessChecks.cpp
@@ -80,7 +80,7 @@
                    std::vector<std::string>* found) {
   const Call& call = calls[index];
   const json body = json::parse(call.body);
-  const auto tag = body["tag"].get<std::string>();
+  const auto tag = body.value("tag", std::to_string(index));
   if (call.outcome == Outcome::kOpen) {
     found->push_back(fmt::format("send {} got no final response", index));
   }
--- a/Source/UnitTests/Core/Transport/MailboxTest.cpp
+++ b/Source/UnitTests/Core/Transport/MailboxTest.cpp
@@ -1,6 +1,9 @@
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <condition_variable>
+#include <memory>
+#include <thread>
 #include <vector>
 
 #include "Transport/Mailbox.h"
@@ -86,6 +89,51 @@
   BOOST_CHECK(absl::IsUnavailable(second.status()));
 }
 
+// Pattern: processes stop while their peers still send, some of which have
+// gone. Guards against a process that does not end, because libnng at times
+// waits for ever when it closes a socket: 3 of 52 soak seeds and 2 of 41 runs
+// of 3-graceful-shutdown.scenario.
+BOOST_AUTO_TEST_CASE(MailboxesCloseUnderTraffic) {
+  constexpr int kPeers = 4;
+  constexpr int kRounds = 6;
+  constexpr auto kLimit = std::chrono::seconds(3);
+  const auto address = [](int i) {
+    return common::Endpoint{
+        .address = "127.0.0.1",
+        .port = static_cast<std::uint16_t>(kFirstPort + 40 + i)};
+  };
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<std::unique_ptr<Mailbox>> peers;
+    peers.reserve(kPeers);
+    for (int i = 0; i < kPeers; ++i) {
+      auto peer = Mailbox::Open(address(i), [](const std::string&) {});
+      BOOST_REQUIRE(peer.ok());
+      peers.push_back(*std::move(peer));
+    }
+    std::atomic<bool> stopped = false;
+    std::vector<std::thread> senders;
+    senders.reserve(kPeers - 1);
+    for (int i = 1; i < kPeers; ++i) {
+      senders.emplace_back([&, i] {
+        // One of the addresses has no listener.
+        for (int to = 0; !stopped; to = (to + 1) % (kPeers + 1)) {
+          peers[i]->Send(address(to), std::string(200, 'x'));
+          std::this_thread::sleep_for(std::chrono::microseconds(50));
+        }
+      });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    const auto start = std::chrono::steady_clock::now();
+    peers[0].reset();
+    stopped = true;
+    for (std::thread& it : senders) it.join();
+    peers.clear();
+    const auto taken = std::chrono::steady_clock::now() - start;
+    BOOST_TEST_MESSAGE("closed in " << taken.count() / 1000000 << " ms");
+    BOOST_CHECK(taken < kLimit);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::transport
