--- a/Source/Core/Balancing/StartSearch.cpp
+++ b/Source/Core/Balancing/StartSearch.cpp
@@ -199,7 +199,7 @@
   const auto offer = book.offers.find(number);
   if (offer == book.offers.end()) {
     // A start for a request that has started elsewhere or has gone.
-    if (reply.verdict == SearchVerdict::kStart) {
+    if (reply.verdict == common::StartVerdict::kStart) {
       actions->push_back(WithdrawOffer{.upstream = upstream, .number = number});
     }
     return;
@@ -215,7 +215,7 @@
     NoteCached(search, reply.cached_at,
                common::SharedTokens(search.request.prompt));
   }
-  if (reply.verdict == SearchVerdict::kStart) {
+  if (reply.verdict == common::StartVerdict::kStart) {
     const CachedFront source = BestSource(search, upstream);
     const common::UpstreamName home = search.request.home;
     const std::uint64_t subject = common::SubjectOf(search.request.prompt);
@@ -236,7 +236,7 @@
   }
   (search.request.within_share ? view.expected_wait : view.surplus_wait) =
       reply.wait;
-  if (reply.verdict == SearchVerdict::kDeclined) {
+  if (reply.verdict == common::StartVerdict::kDeclined) {
     search.shortest_wait = search.any_declined
                                ? std::min(search.shortest_wait, reply.wait)
                                : reply.wait;
--- a/Source/Core/Balancing/StartSearch.h
+++ b/Source/Core/Balancing/StartSearch.h
@@ -10,6 +10,7 @@
 
 #include "Common/Clock.h"
 #include "Common/Prompt.h"
+#include "Common/StartVerdict.h"
 #include "Common/Types.h"
 
 // Finds an engine that starts a request: offers it to the scheduler of the
@@ -147,10 +148,8 @@
     std::variant<MakeOffer, WithdrawOffer, StartAt, NoStart, NoScheduler>;
 using SearchActions = std::vector<SearchAction>;
 
-enum class SearchVerdict : std::uint8_t { kStart, kQueued, kDeclined };
-
 struct SearchReply {
-  SearchVerdict verdict = SearchVerdict::kDeclined;
+  common::StartVerdict verdict = common::StartVerdict::kDeclined;
   common::Duration wait{0};
   int cached_tokens = 0;
   // Another engine that read the shared parts lately; or empty.
--- a/Source/Core/Gateway/GatewayCalls.cpp
+++ b/Source/Core/Gateway/GatewayCalls.cpp
@@ -43,6 +43,11 @@
          (!call.Begun() || call.route->resumable);
 }
 
+// Whether failures of the call's upstream may eject it. An engine's scheduler
+// decides what it starts, and a part of its answers is worth more than none
+// while callers are refused.
+bool IsEjectable(const Call& call) { return !call.facts.prompt.has_value(); }
+
 }  // namespace
 
 bool Gateway::IsShed(const Call& call) {
@@ -78,9 +83,6 @@
 }
 
 void Gateway::NoteFailedUpstream(const Call& call) {
-  // An engine's scheduler decides what it starts; a part of its answers is
-  // worth more than none while callers are refused.
-  if (call.facts.prompt) return;
   std::vector<const common::UpstreamName*> pool;
   for (const auto& [name, it] : upstreams_.upstreams) {
     if (it.entry.pool == call.pool && balancing::TakesWork(it)) {
@@ -102,7 +104,7 @@
 }
 
 void Gateway::NoteOutcome(const Call& call, AttemptEnd end) {
-  if (end == AttemptEnd::kRefused) return;
+  if (end == AttemptEnd::kRefused || !IsEjectable(call)) return;
   if (end != AttemptEnd::kAnswered) return NoteFailedUpstream(call);
   const bool readmitted = balancing::NoteAnswered(
       ejections_, environment_.clock.Now(), call.upstream);
@@ -468,7 +470,8 @@
   const common::Duration waited =
       environment_.clock.Now() - call.attempt_started;
   const common::Duration target = call.route->latency_target;
-  const bool unanswered = !call.Begun() && target > common::Duration(0) &&
+  const bool unanswered = IsEjectable(call) && !call.Begun() &&
+                          target > common::Duration(0) &&
                           waited > kUnansweredTargets * target;
   if (unanswered) NoteFailedUpstream(call);
   call.StopAttempt();
--- a/Source/Core/Gateway/StartClient.cpp
+++ b/Source/Core/Gateway/StartClient.cpp
@@ -19,18 +19,6 @@
 // Counters of schedulers arrive twice a second.
 constexpr common::Duration kShareInterval = std::chrono::milliseconds(200);
 
-balancing::SearchVerdict FromWire(protocol::StartVerdict verdict) {
-  switch (verdict) {
-    case protocol::StartVerdict::kStart:
-      return balancing::SearchVerdict::kStart;
-    case protocol::StartVerdict::kQueued:
-      return balancing::SearchVerdict::kQueued;
-    case protocol::StartVerdict::kDeclined:
-      return balancing::SearchVerdict::kDeclined;
-  }
-  return balancing::SearchVerdict::kDeclined;
-}
-
 }  // namespace
 
 StartClient::StartClient(StartClientOptions options, const common::Clock& clock,
@@ -131,10 +119,9 @@
   const auto offer = book_.offers.find(reply.number);
   if (offer == book_.offers.end()) return;
   const common::UpstreamName name = offer->second.upstream;
-  const balancing::SearchVerdict verdict = FromWire(reply.verdict);
   balancing::SearchActions actions;
   balancing::OnReply(book_, clock_.Now(), name, reply.number,
-                     {.verdict = verdict,
+                     {.verdict = reply.verdict,
                       .wait = reply.wait,
                       .cached_tokens = reply.cached_tokens,
                       .cached_at = reply.cached_at},
--- a/Source/Core/Protocol/SchedulingMessages.h
+++ b/Source/Core/Protocol/SchedulingMessages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Common/Prompt.h"
+#include "Common/StartVerdict.h"
 #include "Common/Types.h"
 
 // Messages between gateways and the schedulers of engines. Each may be lost or
@@ -67,11 +68,9 @@
   double served = 0;
 };
 
-enum class StartVerdict : std::uint8_t { kStart, kQueued, kDeclined };
-
 struct StartReply {
   std::uint64_t number = 0;
-  StartVerdict verdict = StartVerdict::kDeclined;
+  common::StartVerdict verdict = common::StartVerdict::kDeclined;
   std::chrono::microseconds wait{0};
   int cached_tokens = 0;  // at this engine, as far as is known
   // Another engine that read the shared parts lately; or empty.
--- a/Source/Core/SchedulerRuntime/SchedulerEngine.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerEngine.cpp
@@ -18,18 +18,6 @@
 
 constexpr common::Duration kHelloInterval = std::chrono::milliseconds(500);
 
-protocol::StartVerdict ToWire(scheduling::OfferVerdict verdict) {
-  switch (verdict) {
-    case scheduling::OfferVerdict::kStart:
-      return protocol::StartVerdict::kStart;
-    case scheduling::OfferVerdict::kQueued:
-      return protocol::StartVerdict::kQueued;
-    case scheduling::OfferVerdict::kDeclined:
-      return protocol::StartVerdict::kDeclined;
-  }
-  return protocol::StartVerdict::kDeclined;
-}
-
 }  // namespace
 
 SchedulerEngine::SchedulerEngine(SchedulerSettings settings,
@@ -206,7 +194,7 @@
     if (gateway == gateways_.end()) continue;
     Send(gateway->second.control,
          protocol::StartReply{.number = it.id.number,
-                              .verdict = ToWire(it.verdict),
+                              .verdict = it.verdict,
                               .wait = common::ToMicroseconds(it.wait),
                               .cached_tokens = it.cached_tokens,
                               .cached_at = it.cached_at});
--- a/Source/Core/SchedulerRuntime/SchedulerMetrics.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerMetrics.cpp
@@ -4,13 +4,13 @@
 
 namespace shallotbeam::scheduler_runtime {
 
-const char* ToString(scheduling::OfferVerdict verdict) {
+const char* ToString(common::StartVerdict verdict) {
   switch (verdict) {
-    case scheduling::OfferVerdict::kStart:
+    case common::StartVerdict::kStart:
       return "start";
-    case scheduling::OfferVerdict::kQueued:
+    case common::StartVerdict::kQueued:
       return "queued";
-    case scheduling::OfferVerdict::kDeclined:
+    case common::StartVerdict::kDeclined:
       return "declined";
   }
   return "";
@@ -27,7 +27,7 @@
       state_(runtime::AddGauge(*registry_, "shallotbeam_scheduler",
                                "State of this scheduler and its engine")) {}
 
-void SchedulerMetrics::CountReply(scheduling::OfferVerdict verdict) {
+void SchedulerMetrics::CountReply(common::StartVerdict verdict) {
   replies_.Add({{"verdict", ToString(verdict)}}).Increment();
 }
 
--- a/Source/Core/SchedulerRuntime/SchedulerMetrics.h
+++ b/Source/Core/SchedulerRuntime/SchedulerMetrics.h
@@ -16,14 +16,14 @@
 namespace shallotbeam::scheduler_runtime {
 
 // As in log lines and metrics.
-const char* ToString(scheduling::OfferVerdict verdict);
+const char* ToString(common::StartVerdict verdict);
 
 // Used by one thread, but for Text().
 class SchedulerMetrics {
  public:
   SchedulerMetrics();
 
-  void CountReply(scheduling::OfferVerdict verdict);
+  void CountReply(common::StartVerdict verdict);
   // Takes over the present state.
   void Update(const scheduling::EngineScheduler& scheduler,
               common::TimePoint now, std::size_t gateways);
--- a/Source/Core/Scheduling/EngineScheduler.cpp
+++ b/Source/Core/Scheduling/EngineScheduler.cpp
@@ -96,7 +96,7 @@
 }
 
 OfferReply ReplyTo(const EngineScheduler& scheduler, common::TimePoint now,
-                   const Offer& offer, OfferVerdict verdict) {
+                   const Offer& offer, common::StartVerdict verdict) {
   OfferReply reply{.id = offer.id,
                    .request_id = offer.request_id,
                    .verdict = verdict,
@@ -111,7 +111,8 @@
 void Start(EngineScheduler& scheduler, common::TimePoint now,
            const Offer& offer, Replies* replies) {
   const int uncached = Uncached(scheduler, offer);
-  replies->push_back(ReplyTo(scheduler, now, offer, OfferVerdict::kStart));
+  replies->push_back(
+      ReplyTo(scheduler, now, offer, common::StartVerdict::kStart));
   const common::Duration reading = ReadingTime(scheduler.pace, uncached);
   scheduler.read_until = std::max(scheduler.read_until, now) + reading;
   scheduler.paced_until = std::max(scheduler.paced_until, now) +
@@ -202,7 +203,7 @@
       return false;
     }
     replies->push_back(
-        ReplyTo(scheduler, now, it.offer, OfferVerdict::kDeclined));
+        ReplyTo(scheduler, now, it.offer, common::StartVerdict::kDeclined));
     replies->back().wait = wait;
     return true;
   });
@@ -214,7 +215,8 @@
       std::find_if(scheduler.waiting.begin(), scheduler.waiting.end(),
                    [id](const Waiting& w) { return w.offer.id == id; });
   if (it == scheduler.waiting.end()) return;
-  replies->push_back(ReplyTo(scheduler, now, it->offer, OfferVerdict::kQueued));
+  replies->push_back(
+      ReplyTo(scheduler, now, it->offer, common::StartVerdict::kQueued));
   replies->back().wait = WaitOf(scheduler, now, *it);
   replies->back().repeated = repeated;
 }
@@ -226,7 +228,7 @@
   if (it != scheduler.running.end()) {
     replies->push_back({.id = id,
                         .request_id = it->second.request_id,
-                        .verdict = OfferVerdict::kStart,
+                        .verdict = common::StartVerdict::kStart,
                         .repeated = true});
     return true;
   }
--- a/Source/Core/Scheduling/EngineScheduler.h
+++ b/Source/Core/Scheduling/EngineScheduler.h
@@ -11,6 +11,7 @@
 #include "Common/Clock.h"
 #include "Common/Prompt.h"
 #include "Common/ServiceCounters.h"
+#include "Common/StartVerdict.h"
 #include "Common/Types.h"
 #include "Scheduling/CacheDirectory.h"
 #include "Scheduling/PrefixCache.h"
@@ -49,16 +50,10 @@
   double served = 0;
 };
 
-enum class OfferVerdict : std::uint8_t {
-  kStart,     // send the request now
-  kQueued,    // a further reply follows
-  kDeclined,  // it would not start in time
-};
-
 struct OfferReply {
   OfferId id;
   std::string request_id;
-  OfferVerdict verdict = OfferVerdict::kDeclined;
+  common::StartVerdict verdict = common::StartVerdict::kDeclined;
   common::Duration wait{0};  // expected until the start
   int cached_tokens = 0;     // at this engine
   // Another engine that read the shared parts lately; or empty.
--- a/Source/UnitTests/Core/Balancing/StartSearchTest.cpp
+++ b/Source/UnitTests/Core/Balancing/StartSearchTest.cpp
@@ -59,7 +59,7 @@
                      {.surplus_wait = wait}, &actions);
   }
   void Reply(const common::UpstreamName& upstream, OfferNumber number,
-             SearchVerdict verdict, common::Duration wait = 0ms,
+             common::StartVerdict verdict, common::Duration wait = 0ms,
              int cached = 0) {
     OnReply(book, clock.Now(), upstream, number,
             {.verdict = verdict, .wait = wait, .cached_tokens = cached},
@@ -98,7 +98,7 @@
 BOOST_AUTO_TEST_CASE(FirstCandidateGetsTheOfferAndTheStart) {
   Begin();
   BOOST_REQUIRE_EQUAL(Of<MakeOffer>().size(), 1);
-  Reply(kA, OfferTo(kA), SearchVerdict::kStart);
+  Reply(kA, OfferTo(kA), common::StartVerdict::kStart);
   BOOST_REQUIRE_EQUAL(Of<StartAt>().size(), 1);
   BOOST_CHECK(Of<StartAt>()[0].upstream == kA);
   BOOST_CHECK(book.searches.empty());
@@ -126,12 +126,12 @@
 BOOST_AUTO_TEST_CASE(SecondStartIsWithdrawn) {
   Begin();
   const OfferNumber first = OfferTo(kA);
-  Reply(kA, first, SearchVerdict::kQueued, 400ms);
+  Reply(kA, first, common::StartVerdict::kQueued, 400ms);
   const OfferNumber second = OfferTo(kB);
   BOOST_REQUIRE_NE(second, 0);
-  Reply(kB, second, SearchVerdict::kStart);
+  Reply(kB, second, common::StartVerdict::kStart);
   // Crosses the withdrawal.
-  Reply(kA, first, SearchVerdict::kStart);
+  Reply(kA, first, common::StartVerdict::kStart);
   BOOST_CHECK_EQUAL(Of<StartAt>().size(), 1);
   const auto withdrawn = Of<WithdrawOffer>();
   BOOST_REQUIRE(!withdrawn.empty());
@@ -143,9 +143,9 @@
 // and against a caller that is told a longer time than the shortest.
 BOOST_AUTO_TEST_CASE(AllDeclinesEndTheSearchWithTheShortestWait) {
   Begin();
-  Reply(kA, OfferTo(kA), SearchVerdict::kDeclined, 900ms);
+  Reply(kA, OfferTo(kA), common::StartVerdict::kDeclined, 900ms);
   BOOST_CHECK(Of<NoStart>().empty());
-  Reply(kB, OfferTo(kB), SearchVerdict::kDeclined, 500ms);
+  Reply(kB, OfferTo(kB), common::StartVerdict::kDeclined, 500ms);
   BOOST_REQUIRE_EQUAL(Of<NoStart>().size(), 1);
   BOOST_CHECK(Of<NoStart>()[0].shortest_wait == 500ms);
 }
@@ -155,7 +155,7 @@
 BOOST_AUTO_TEST_CASE(SharedPartsAreFetchedFromTheirHome) {
   BeginShared();
   BOOST_CHECK_EQUAL(Of<MakeOffer>()[0].fetchable_tokens, 400);
-  Reply(kA, OfferTo(kA), SearchVerdict::kStart);
+  Reply(kA, OfferTo(kA), common::StartVerdict::kStart);
   BOOST_REQUIRE_EQUAL(Of<StartAt>().size(), 1);
   BOOST_CHECK(Of<StartAt>()[0].cache_source == kC);
 }
@@ -163,7 +163,7 @@
 // Guards against a fetch of what the engine has itself.
 BOOST_AUTO_TEST_CASE(NothingIsFetchedForACachedPrompt) {
   BeginShared();
-  Reply(kA, OfferTo(kA), SearchVerdict::kStart, 0ms, 400);
+  Reply(kA, OfferTo(kA), common::StartVerdict::kStart, 0ms, 400);
   BOOST_REQUIRE_EQUAL(Of<StartAt>().size(), 1);
   BOOST_CHECK(Of<StartAt>()[0].cache_source.empty());
 }
@@ -171,8 +171,8 @@
 // Guards against a fetch from the home where another engine has more.
 BOOST_AUTO_TEST_CASE(PartsAreFetchedWhereMostIsCached) {
   BeginShared();
-  Reply(kA, OfferTo(kA), SearchVerdict::kQueued, 400ms, 450);
-  Reply(kB, OfferTo(kB), SearchVerdict::kStart);
+  Reply(kA, OfferTo(kA), common::StartVerdict::kQueued, 400ms, 450);
+  Reply(kB, OfferTo(kB), common::StartVerdict::kStart);
   BOOST_REQUIRE_EQUAL(Of<StartAt>().size(), 1);
   BOOST_CHECK(Of<StartAt>()[0].cache_source == kA);
 }
@@ -182,7 +182,7 @@
 BOOST_AUTO_TEST_CASE(PartsAreFetchedWhereTheHomeKnowsThem) {
   BeginShared();
   OnReply(book, clock.Now(), kA, OfferTo(kA),
-          {.verdict = SearchVerdict::kStart, .cached_at = kB}, &actions);
+          {.verdict = common::StartVerdict::kStart, .cached_at = kB}, &actions);
   BOOST_REQUIRE_EQUAL(Of<StartAt>().size(), 1);
   BOOST_CHECK(Of<StartAt>()[0].home == kC);
   // The home has not replied and is taken to have as much.
@@ -239,7 +239,7 @@
 // Pattern: a scheduler restarts and knows nothing of its queue.
 BOOST_AUTO_TEST_CASE(OfferAtARestartedSchedulerIsMadeAnew) {
   Begin();
-  Reply(kA, OfferTo(kA), SearchVerdict::kQueued, 10ms);
+  Reply(kA, OfferTo(kA), common::StartVerdict::kQueued, 10ms);
   Hear(kA, 0ms, 2);
   BOOST_CHECK_NE(OfferTo(kB), 0);
   BOOST_CHECK_EQUAL(Of<WithdrawOffer>().size(), 1);
@@ -248,7 +248,7 @@
 // Pattern: an engine drains. Guards against requests that stay queued there.
 BOOST_AUTO_TEST_CASE(OfferAtALeavingEngineGoesElsewhere) {
   Begin();
-  Reply(kA, OfferTo(kA), SearchVerdict::kQueued, 10ms);
+  Reply(kA, OfferTo(kA), common::StartVerdict::kQueued, 10ms);
   OnUpstreamLeaving(book, clock.Now(), kA, &actions);
   BOOST_CHECK_NE(OfferTo(kB), 0);
   BOOST_CHECK(!IsAnswering(book, clock.Now(), kA));
@@ -257,7 +257,7 @@
 // Guards against offers that stay queued for a caller that has left.
 BOOST_AUTO_TEST_CASE(EndedSearchWithdrawsItsOffers) {
   Begin();
-  Reply(kA, OfferTo(kA), SearchVerdict::kQueued, 10ms);
+  Reply(kA, OfferTo(kA), common::StartVerdict::kQueued, 10ms);
   EndSearch(book, SearchId{1}, &actions);
   BOOST_CHECK_EQUAL(Of<WithdrawOffer>().size(), 1);
   BOOST_CHECK(book.offers.empty());
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -186,6 +186,14 @@
       status, id, body.size(), body);
 }
 
+FakeUpstream::Reaction AnswerWhole(const std::string& request) {
+  return {.bytes = Sealed(request, "done")};
+}
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
 Caller::Caller(net::io_context& context, std::uint16_t port)
     : socket_(context),
       received_(std::make_shared<std::string>()),
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -66,6 +66,11 @@
 std::string Sealed(const std::string& request, const std::string& body,
                    int status = 200);
 
+// Such an answer with the body "done".
+FakeUpstream::Reaction AnswerWhole(const std::string& request);
+
+bool Contains(const std::string& text, const std::string& part);
+
 // A connection of a caller.
 class Caller {
  public:
--- a/Source/UnitTests/Core/Scheduling/EngineSchedulerTest.cpp
+++ b/Source/UnitTests/Core/Scheduling/EngineSchedulerTest.cpp
@@ -67,7 +67,7 @@
   }
 
   // The last verdict on an offer.
-  std::optional<OfferVerdict> VerdictOf(OfferId id) const {
+  std::optional<common::StartVerdict> VerdictOf(OfferId id) const {
     const auto it =
         std::find_if(replies.rbegin(), replies.rend(),
                      [id](const OfferReply& r) { return r.id == id; });
@@ -75,12 +75,13 @@
     return it->verdict;
   }
   bool Started(OfferId id) const {
-    return VerdictOf(id) == OfferVerdict::kStart;
+    return VerdictOf(id) == common::StartVerdict::kStart;
   }
   int Starts() const {
-    return static_cast<int>(std::count_if(
-        replies.begin(), replies.end(),
-        [](const auto& it) { return it.verdict == OfferVerdict::kStart; }));
+    return static_cast<int>(
+        std::count_if(replies.begin(), replies.end(), [](const auto& it) {
+          return it.verdict == common::StartVerdict::kStart;
+        }));
   }
 
   // Time passes with ticks; the gateways stay alive.
@@ -143,9 +144,10 @@
   const OfferId small = Give({.workspace = "small", .served = 100});
   replies.clear();
   for (int i = 0; i < 200 && Starts() == 0; ++i) Pass(20ms);
-  const auto first = std::find_if(
-      replies.begin(), replies.end(),
-      [](const auto& it) { return it.verdict == OfferVerdict::kStart; });
+  const auto first =
+      std::find_if(replies.begin(), replies.end(), [](const auto& it) {
+        return it.verdict == common::StartVerdict::kStart;
+      });
   BOOST_REQUIRE(first != replies.end());
   BOOST_CHECK(first->id == small);
 }
@@ -168,7 +170,7 @@
 BOOST_AUTO_TEST_CASE(HopelessRequestIsDeclinedAtOnce) {
   for (int i = 0; i < 60; ++i) Give({.tokens = 10'000});
   const OfferId hopeless = Give({.tokens = 10'000, .patience = 500ms});
-  BOOST_CHECK(VerdictOf(hopeless) == OfferVerdict::kDeclined);
+  BOOST_CHECK(VerdictOf(hopeless) == common::StartVerdict::kDeclined);
 }
 
 // Guards against a decline while the request would start in time.
