--- a/Source/TestTools/Soak/Main.cpp
+++ b/Source/TestTools/Soak/Main.cpp
@@ -29,7 +29,7 @@
       settings::Text("programs", "folder with the built programs", &programs),
       settings::Text("work-folder", "folder for logs, one for each seed",
                      &work_folder),
-      settings::Number("first-seed", "first seed", 0, kMostSeeds, &first_seed),
+      settings::Number("first-seed", "first seed", 1, kMostSeeds, &first_seed),
       settings::Number("seeds", "number of seeds", 1, kMostSeeds, &seeds),
       settings::Number("first-port", "first of 40 ports", 1'024, kLastPort,
                        &first_port),
--- a/Source/UnitTests/Fleet/SoakTest.cpp
+++ b/Source/UnitTests/Fleet/SoakTest.cpp
@@ -34,7 +34,7 @@
 // Guards against schedules that a seed does not tell.
 BOOST_AUTO_TEST_CASE(EqualSeedsGiveEqualSchedules) {
   std::set<std::string> texts;
-  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     const std::string text = fakes::ToString(MakeSoak({.seed = seed}));
     BOOST_CHECK_EQUAL(text, fakes::ToString(MakeSoak({.seed = seed})));
     texts.insert(text);
@@ -44,7 +44,7 @@
 
 // Guards against schedules that the runner can't read back from a report.
 BOOST_AUTO_TEST_CASE(SchedulesAreScenarios) {
-  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     const auto parsed =
         fakes::ParseScenario("soak", fakes::ToString(MakeSoak({.seed = seed})),
                              fakes::Dialect::kProcesses);
