--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -105,6 +105,9 @@
   void OnStartOutcome(const StartOutcome& outcome);
   // Sends the call to an upstream. `ticket` may be empty.
   void SendTo(Call& call, const common::UpstreamName& name, StartTicket ticket);
+  // Those of a pool that take work.
+  std::vector<const common::UpstreamName*> UpstreamsOf(
+      const common::PoolName& pool) const;
   std::vector<const common::UpstreamName*> Candidates(const Call& call) const;
   std::vector<const common::UpstreamName*> ByLane(
       const Call& call, const std::vector<const common::UpstreamName*>& ranked,
--- a/Source/Core/Gateway/GatewayCalls.cpp
+++ b/Source/Core/Gateway/GatewayCalls.cpp
@@ -67,13 +67,22 @@
                               kRequestCost + events, uniform(random_));
 }
 
-std::vector<const common::UpstreamName*> Gateway::Candidates(
-    const Call& call) const {
+std::vector<const common::UpstreamName*> Gateway::UpstreamsOf(
+    const common::PoolName& pool) const {
   std::vector<const common::UpstreamName*> names;
   for (const auto& [name, it] : upstreams_.upstreams) {
-    if (it.entry.pool != call.pool || !balancing::TakesWork(it)) continue;
-    if (call.tried.count(name) == 0) names.push_back(&name);
+    if (it.entry.pool == pool && balancing::TakesWork(it)) {
+      names.push_back(&name);
+    }
   }
+  return names;
+}
+
+std::vector<const common::UpstreamName*> Gateway::Candidates(
+    const Call& call) const {
+  auto names = UpstreamsOf(call.pool);
+  std::erase_if(names,
+                [&call](const auto* it) { return call.tried.count(*it) != 0; });
   return balancing::WithoutEjected(
       ejections_, environment_.clock.Now(), std::move(names),
       [this](const common::UpstreamName& name) {
@@ -83,16 +92,10 @@
 }
 
 void Gateway::NoteFailedUpstream(const Call& call) {
-  std::vector<const common::UpstreamName*> pool;
-  for (const auto& [name, it] : upstreams_.upstreams) {
-    if (it.entry.pool == call.pool && balancing::TakesWork(it)) {
-      pool.push_back(&name);
-    }
-  }
   std::uniform_real_distribution<double> uniform(0, 1);
   const auto ejection =
       balancing::NoteFailed(ejections_, environment_.clock.Now(), call.upstream,
-                            pool, uniform(random_));
+                            UpstreamsOf(call.pool), uniform(random_));
   if (!ejection) return;
   metrics_.CountEjection();
   Log(Subsystem::kMembership, LogLevel::kWarning,
--- a/Source/Core/Routing/Dispatching.cpp
+++ b/Source/Core/Routing/Dispatching.cpp
@@ -10,6 +10,7 @@
 
 using common::Reason;
 using common::Verdict;
+using std::chrono::milliseconds;
 
 PoolState& PoolOf(Context& context, const Request& request) {
   return context.state.pools[request.pool];
@@ -80,11 +81,6 @@
                       request.kind, request.urgency, context.now);
 }
 
-std::int64_t ToMilliseconds(common::Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 // Refusal of a request for which the queue has no room or no time.
 std::optional<Reason> CheckQueue(Context& context, const Request& request) {
   const auto kind = context.state.config.kinds.find(request.kind);
@@ -101,10 +97,10 @@
         common::ToString(Reason::kDeadlineTooShort),
         fmt::format(" wait_ms={} time_left_ms={} dispatches={} interval_ms={} "
                     "stall_ms={}",
-                    ToMilliseconds(estimate.wait),
-                    ToMilliseconds(request.deadline - context.now),
-                    estimate.dispatches, ToMilliseconds(estimate.interval),
-                    ToMilliseconds(estimate.stall)));
+                    estimate.wait / milliseconds(1),
+                    (request.deadline - context.now) / milliseconds(1),
+                    estimate.dispatches, estimate.interval / milliseconds(1),
+                    estimate.stall / milliseconds(1)));
     return Reason::kDeadlineTooShort;
   }
   return std::nullopt;
