Bound the memory and time that a peer takes with bytes that have no end

Cause: Beast's parser limits heads and bodies, but takes a chunk header with its extensions, and all trailers, as a whole without a limit; both sides of the gateway and both of Transport kept them. string_body allocates the stated length at once: a response head with a length of 100 GB ended the process with bad_alloc. An incomplete event, and a refusal that is not relayed, had no limit either; the caller of such a refusal waited until its deadline.

Bodies that came by the byte kept a caller's connection for ever.

On the way: an interim response ended an exchange as its final response; a late copy without an id on a connection in use again was relayed to the next caller; one before a response to HEAD was framed wrongly.

--- a/Source/Core/Forwarding/CallerConnection.cpp
+++ b/Source/Core/Forwarding/CallerConnection.cpp
@@ -28,6 +28,10 @@
 // A response is abandoned if the caller reads nothing of it for this long.
 constexpr common::Duration kWriteTimeout = std::chrono::seconds(20);
 
+// A caller that sends the body of a request more slowly than this is rejected
+// after the idle timeout.
+constexpr std::size_t kMinBodyBytesPerSecond = 1'024;
+
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
@@ -94,6 +98,7 @@
       state_ = State::kReading;
       state_since_ = options_.clock.Now();
       continue_sent_ = false;
+      message_bytes_ = {};
       parser_.emplace();
       parser_->header_limit(
           static_cast<std::uint32_t>(options_.limits.header_bytes));
@@ -106,11 +111,18 @@
     const std::size_t used =
         parser_->put(net::buffer(input_.data(), input_.size()), ec);
     input_.erase(0, used);
+    message_bytes_.consumed += used;
+    message_bytes_.body = parser_->get().body().size();
+    if (ec && ec != http::error::need_more) return Reject(StatusOf(ec));
+    const std::size_t limit = options_.limits.header_bytes;
+    if (HasExcessiveFraming(message_bytes_, limit)) return Reject(kBadRequest);
     if (ec == http::error::need_more) {
-      if (used == 0) return;
-      continue;
+      if (used != 0) continue;
+      // The parser takes a chunk header and all trailers as a whole and has no
+      // limit for either.
+      if (input_.size() > limit) Reject(kBadRequest);
+      return;
     }
-    if (ec) return Reject(StatusOf(ec));
     if (!parser_->is_header_done()) continue;
     if (IsAmbiguouslyFramed(parser_->get().base())) return Reject(kBadRequest);
     if (parser_->is_done()) return OnParsed();
@@ -328,6 +340,19 @@
   });
 }
 
+// Bytes of framing do not extend the time for a body.
+bool CallerConnection::IsRequestLate(common::TimePoint now) const {
+  const catalogue::CallerLimits& limits = options_.limits;
+  const common::Duration time = now - state_since_;
+  if (!parser_ || !parser_->is_header_done()) {
+    return time > limits.header_timeout;
+  }
+  if (now - last_progress_ > limits.idle_timeout) return true;
+  const std::chrono::duration<double> body_time(
+      static_cast<double>(message_bytes_.body) / kMinBodyBytesPerSecond);
+  return time - limits.idle_timeout > body_time;
+}
+
 void CallerConnection::CheckTimeouts(common::TimePoint now) {
   const catalogue::CallerLimits& limits = options_.limits;
   const common::Duration in_state = now - state_since_;
@@ -335,13 +360,9 @@
     case State::kIdle:
       if (in_state > limits.idle_timeout) CloseIfUnused();
       return;
-    case State::kReading: {
-      const bool header_done = parser_ && parser_->is_header_done();
-      const bool late = header_done ? now - last_progress_ > limits.idle_timeout
-                                    : in_state > limits.header_timeout;
-      if (late) Reject(kRequestTimeout);
+    case State::kReading:
+      if (IsRequestLate(now)) Reject(kRequestTimeout);
       return;
-    }
     case State::kServing:
       if (awaiting_writable_ && now - last_progress_ > kWriteTimeout) Close();
       return;
--- a/Source/Core/Forwarding/CallerConnection.h
+++ b/Source/Core/Forwarding/CallerConnection.h
@@ -4,7 +4,6 @@
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -14,6 +13,8 @@
 
 #include "Catalogue/Model.h"
 #include "Common/Clock.h"
+#include "Forwarding/AppendingBody.h"
+#include "Forwarding/Framing.h"
 #include "Forwarding/HeaderCodec.h"
 
 namespace shallotbeam::forwarding {
@@ -108,13 +109,14 @@
     kLingering,  // the response has been sent; waits for the caller to close
     kClosed,
   };
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<AppendingBody>;
 
   void Read();
   void OnBytes(std::size_t n);
   void ParseInput();
   void OnParsed();
+  // Whether the request takes longer to arrive than a slow caller needs.
+  bool IsRequestLate(common::TimePoint now) const;
   void Reject(int status);
   // Whether the connection is closed after the current response.
   bool ClosesAfterResponse() const;
@@ -133,7 +135,8 @@
   Options options_;
   std::optional<Parser> parser_;
   std::array<char, kReadBytes> read_buffer_;
-  std::string input_;  // read, not parsed yet
+  std::string input_;           // read, not parsed yet
+  MessageBytes message_bytes_;  // of the request being read
   std::string output_;
   CallerCallbacks callbacks_;
   State state_ = State::kIdle;
--- a/Source/Core/Forwarding/Framing.cpp
+++ b/Source/Core/Forwarding/Framing.cpp
@@ -22,6 +22,9 @@
     "Proxy-Authenticate",  "TE",         "Trailer",
     "Proxy-Authorization", "Upgrade",    "Transfer-Encoding"};
 
+// A chunk of one byte has five bytes of framing.
+constexpr std::size_t kMaxFramingPerBodyByte = 8;
+
 beast::string_view ToBeast(std::string_view text) {
   return {text.data(), text.size()};
 }
@@ -48,6 +51,13 @@
   return !beast::iequals(fields[http::field::transfer_encoding], "chunked");
 }
 
+bool HasExcessiveFraming(const MessageBytes& bytes, std::size_t head_limit) {
+  const std::size_t framing = bytes.consumed - bytes.body;
+  // The head and the trailers.
+  const std::size_t fixed = 2 * head_limit;
+  return framing > fixed + kMaxFramingPerBodyByte * bytes.body;
+}
+
 std::optional<int> KeepAliveSeconds(const Fields& fields) {
   const auto it = fields.find(http::field::keep_alive);
   if (it == fields.end()) return std::nullopt;
--- a/Source/Core/Forwarding/Framing.h
+++ b/Source/Core/Forwarding/Framing.h
@@ -29,6 +29,17 @@
 // Appends one chunk of a chunked body. `bytes` must not be empty.
 void AppendChunk(std::string_view bytes, std::string* out);
 
+// Bytes of one message, to bound what a peer sends beside the body: chunk
+// headers, chunk extensions and trailers.
+struct MessageBytes {
+  std::size_t consumed = 0;  // by the parser, the body included
+  std::size_t body = 0;
+};
+
+// Whether a message has far more framing than its body explains. `head_limit`
+// is the allowed size of its head.
+bool HasExcessiveFraming(const MessageBytes& bytes, std::size_t head_limit);
+
 inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 std::string_view ReasonPhrase(int status);
--- a/Source/Core/Forwarding/UpstreamConnection.cpp
+++ b/Source/Core/Forwarding/UpstreamConnection.cpp
@@ -27,6 +27,12 @@
 // Used if the upstream does not state its idle timeout.
 constexpr common::Duration kDefaultIdleLimit = std::chrono::seconds(4);
 constexpr std::size_t kMaxHeaderBytes = 65'536;
+// Limit for interim responses and for responses to earlier requests that arrive
+// while a request awaits its response.
+constexpr std::size_t kMaxSkippedBytes = 1'048'576;
+constexpr int kSwitchingProtocols = 101;
+
+bool IsInterim(int status) { return status >= 100 && status < 200; }
 
 void SetOptions(net::ip::tcp::socket& socket) {
   error_code ec;
@@ -54,7 +60,9 @@
   request_ = std::move(request);
   sent_ = 0;
   listener_ = listener;
-  stray_ = false;
+  skipping_ = false;
+  skipped_bytes_ = 0;
+  message_bytes_ = {};
   parser_.reset();
   if (connected_) return SendRequest();
   Connect(endpoint);
@@ -147,18 +155,43 @@
     const std::size_t used =
         parser_->put(net::buffer(input_.data(), input_.size()), ec);
     input_.erase(0, used);
+    message_bytes_.consumed += used;
+    message_bytes_.body += parser_->get().body().size();
+    if (skipping_) skipped_bytes_ += used;
     if (ec && ec != http::error::need_more) return End(ExchangeEnd::kBroken);
     if (!had_head && parser_->is_header_done() && !OnHead()) return;
     DeliverBody();
     if (closed_ || listener_ == nullptr) return;
+    if (ExceedsLimits()) return End(ExchangeEnd::kBroken);
     if (parser_->is_done()) {
       OnMessageDone();
     } else if (ec == http::error::need_more && used == 0) {
+      // The parser takes a chunk header and all trailers as a whole and has no
+      // limit for either.
+      if (input_.size() > kMaxHeaderBytes) End(ExchangeEnd::kBroken);
       return;
     }
   }
 }
 
+bool UpstreamConnection::ExceedsLimits() const {
+  return skipped_bytes_ > kMaxSkippedBytes ||
+         HasExcessiveFraming(message_bytes_, kMaxHeaderBytes);
+}
+
+std::optional<bool> UpstreamConnection::IsSkipped(int status,
+                                                  const std::string& id) const {
+  if (status == kSwitchingProtocols) return std::nullopt;
+  if (IsInterim(status)) return true;
+  // Without an id it may be a late copy of an earlier response.
+  if (id.empty()) return reused_ ? std::nullopt : std::optional(false);
+  if (id == request_.request_id) return false;
+  // Whether a body follows a response to HEAD is only known for the current
+  // request.
+  if (request_.head_only || served_head_only_) return std::nullopt;
+  return true;
+}
+
 // Returns false if the exchange has ended.
 bool UpstreamConnection::OnHead() {
   auto& message = parser_->get();
@@ -169,9 +202,16 @@
   }
   response.metadata =
       header_codec_.decode_response(response.status, message.base());
-  const std::string& id = response.metadata.request_id;
-  stray_ = !id.empty() && id != request_.request_id;
-  if (stray_) return true;
+  const auto skipped = IsSkipped(response.status, response.metadata.request_id);
+  if (!skipped) {
+    End(ExchangeEnd::kBroken);
+    return false;
+  }
+  skipping_ = *skipped;
+  if (skipping_) {
+    skipped_bytes_ += message_bytes_.consumed;
+    return true;
+  }
   keep_alive_ = parser_->keep_alive() && !parser_->need_eof();
   if (const auto seconds = KeepAliveSeconds(message.base())) {
     idle_limit_ = std::chrono::duration_cast<common::Duration>(
@@ -186,14 +226,14 @@
   std::string& body = parser_->get().body();
   if (body.empty()) return;
   const std::string piece = std::exchange(body, {});
-  if (!stray_) listener_->OnUpstreamBody(piece);
+  if (!skipping_) listener_->OnUpstreamBody(piece);
 }
 
 void UpstreamConnection::OnMessageDone() {
   parser_.reset();
-  // The message was a late response to an earlier request; the response to the
-  // current one is still to come.
-  if (std::exchange(stray_, false)) return;
+  message_bytes_ = {};
+  // The response to the current request is still to come.
+  if (std::exchange(skipping_, false)) return;
   End(ExchangeEnd::kComplete);
 }
 
@@ -204,7 +244,7 @@
   }
   error_code ec;
   parser_->put_eof(ec);
-  const bool complete = !ec && parser_->is_done() && !stray_;
+  const bool complete = !ec && parser_->is_done() && !skipping_;
   keep_alive_ = false;
   End(complete ? ExchangeEnd::kComplete : ExchangeEnd::kBroken);
 }
@@ -213,6 +253,8 @@
   if (closed_ || listener_ == nullptr) return;
   UpstreamListener* const listener = std::exchange(listener_, nullptr);
   idle_since_ = clock_.Now();
+  reused_ = true;
+  served_head_only_ = served_head_only_ || request_.head_only;
   const bool reusable = end == ExchangeEnd::kComplete && keep_alive_ &&
                         input_.empty() && sent_ == request_.bytes.size();
   if (!reusable) Close();
--- a/Source/Core/Forwarding/UpstreamConnection.h
+++ b/Source/Core/Forwarding/UpstreamConnection.h
@@ -4,7 +4,6 @@
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -13,6 +12,8 @@
 
 #include "Common/Clock.h"
 #include "Common/Types.h"
+#include "Forwarding/AppendingBody.h"
+#include "Forwarding/Framing.h"
 #include "Forwarding/HeaderCodec.h"
 
 namespace shallotbeam::forwarding {
@@ -40,8 +41,10 @@
 };
 
 struct UpstreamRequest {
-  std::string bytes;       // head and body as sent
-  std::string request_id;  // responses with another id are dropped
+  std::string bytes;  // head and body as sent
+  // Responses with another id are skipped. Only the first response on a
+  // connection may lack the id.
+  std::string request_id;
   bool head_only = false;  // HEAD: the response has no body
 };
 
@@ -71,8 +74,7 @@
   bool WasConnected() const { return connected_; }
 
  private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<AppendingBody>;
 
   void Connect(const common::Endpoint& endpoint);
   void SendRequest();
@@ -80,7 +82,11 @@
   void OnBytes(std::size_t n);
   void Parse();
   bool OnHead();
+  // Whether the response that begins is not the one to the current request.
+  // Returns nothing if that can't be known.
+  std::optional<bool> IsSkipped(int status, const std::string& id) const;
   void DeliverBody();
+  bool ExceedsLimits() const;
   void OnMessageDone();
   void OnEof();
   void End(ExchangeEnd end);
@@ -96,7 +102,12 @@
   std::optional<Parser> parser_;
   std::array<char, kReadBytes> read_buffer_;
   std::string input_;
-  bool stray_ = false;  // the response being read belongs to another request
+  MessageBytes message_bytes_;  // of the response being read
+  // The response being read is interim or belongs to another request.
+  bool skipping_ = false;
+  std::size_t skipped_bytes_ = 0;  // during the current exchange
+  bool reused_ = false;            // has served an earlier request
+  bool served_head_only_ = false;  // has served a HEAD request
   bool keep_alive_ = true;
   bool connected_ = false;
   bool closed_ = false;
--- a/Source/Core/Gateway/Call.cpp
+++ b/Source/Core/Gateway/Call.cpp
@@ -18,6 +18,10 @@
 // Reading from the upstream pauses while more than this many bytes wait to be
 // sent to the caller, and resumes once all of them were sent.
 constexpr std::size_t kMaxBacklog = 131'072;
+// Limit for one event of a stream.
+constexpr std::size_t kMaxEventBytes = 1'048'576;
+// Limit for the body of a refusal, which is not relayed.
+constexpr std::size_t kMaxRefusalBytes = 16'384;
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 bool IsServerError(int status) { return status >= 500; }
@@ -60,6 +64,7 @@
   connection_ = std::move(connection);
   have_head_ = false;
   outcome_by_head_ = AttemptEnd::kAnswered;
+  refusal_bytes_ = 0;
   buffer_.clear();
   scanner_.DropPartial();
   forwarding::UpstreamRequest out{.request_id = metadata.request_id,
@@ -125,6 +130,7 @@
       response_.fields.count(http::field::content_encoding) != 0;
   if (response_.metadata.not_run) {
     outcome_by_head_ = AttemptEnd::kRefused;
+    refused_at = gateway.Now();
   } else if (encoded || (success && !response_.metadata.has_digest) ||
              (response_started_ && !success)) {
     // A resumed stream has already sent its status to the caller, so that an
@@ -132,13 +138,29 @@
     outcome_by_head_ = AttemptEnd::kInvalid;
   }
   if (outcome_by_head_ == AttemptEnd::kInvalid) {
-    const auto connection = std::exchange(connection_, nullptr);
-    connection->Close();
-    gateway.OnAttemptEnd(*this, AttemptEnd::kInvalid, response_);
+    EndAttempt(AttemptEnd::kInvalid);
   }
 }
 
+void Call::EndAttempt(AttemptEnd end) {
+  const auto connection = std::exchange(connection_, nullptr);
+  connection->Close();
+  gateway.OnAttemptEnd(*this, end, response_);
+}
+
+bool Call::IsUnboundedBody(std::size_t n) {
+  if (outcome_by_head_ != AttemptEnd::kRefused) {
+    return scanner_.Partial().size() + n > kMaxEventBytes;
+  }
+  refusal_bytes_ += n;
+  return refusal_bytes_ > kMaxRefusalBytes;
+}
+
 void Call::OnUpstreamBody(std::string_view bytes) {
+  if (IsUnboundedBody(bytes.size())) {
+    const bool refused = outcome_by_head_ == AttemptEnd::kRefused;
+    return EndAttempt(refused ? AttemptEnd::kRefused : AttemptEnd::kBroken);
+  }
   if (outcome_by_head_ != AttemptEnd::kAnswered) return;
   if (route->streamed && IsSuccess(response_.status)) {
     const std::string_view complete_events = scanner_.Add(bytes);
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -59,6 +59,14 @@
   // Sends the buffered response of the upstream to the caller, or ends the
   // response if it was streamed.
   void DeliverBuffered();
+  // Whether an upstream has refused the request, but the rest of its response
+  // has not arrived.
+  bool IsRefusalIncomplete() const {
+    return connection_ != nullptr && outcome_by_head_ == AttemptEnd::kRefused;
+  }
+  // Ends an attempt that the upstream has refused without waiting for the rest
+  // of its response.
+  void EndRefusedAttempt() { EndAttempt(AttemptEnd::kRefused); }
   // Whether any part of the upstream's response was sent to the caller.
   bool HasResponseStarted() const { return response_started_; }
   bool IsAttemptActive() const { return connection_ != nullptr; }
@@ -94,6 +102,7 @@
 
   common::UpstreamName upstream;  // of the current or last attempt
   common::TimePoint attempt_started;
+  common::TimePoint refused_at;   // head of the upstream's refusal
   common::TimePoint first_event;  // first bytes relayed
   common::TimePoint last_event;
   common::Duration longest_event_gap{0};
@@ -105,6 +114,10 @@
  private:
   void BuildRequest(common::TimePoint now, std::string* bytes) const;
   std::string ResponseHeaders() const;
+  // Whether the response can't be relayed, because it has an event without end
+  // or a refusal that goes on.
+  bool IsUnboundedBody(std::size_t n);
+  void EndAttempt(AttemptEnd end);
   void StartResponse();
   void Deliver(std::string_view bytes);
 
@@ -114,6 +127,7 @@
   // Outcome that the response head implies; kAnswered if it is acceptable.
   AttemptEnd outcome_by_head_ = AttemptEnd::kAnswered;
   std::string buffer_;  // buffered until the response is complete
+  std::size_t refusal_bytes_ = 0;
   forwarding::EventScanner scanner_;
   bool response_started_ = false;
 };
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -28,6 +28,9 @@
 // process; another gateway can serve them at once.
 constexpr common::Duration kOtherHostRetryAfter = milliseconds(50);
 constexpr common::Duration kDefaultTimeout = std::chrono::seconds(60);
+// Time for the rest of a refusal to arrive after its head. The request goes
+// elsewhere afterwards.
+constexpr common::Duration kRefusalTime = milliseconds(100);
 // File descriptors reserved for files and control connections.
 constexpr int kReservedDescriptors = 300;
 // Time within which the load balancer notices that this process is not ready.
@@ -157,6 +160,12 @@
     AbortAttempt(*it);
     Respond(*it, kGatewayTimeout, "timeout");
   }
+  std::vector<Call*> refused;
+  for (const auto& [call, owner] : calls_) {
+    if (!call->IsRefusalIncomplete()) continue;
+    if (now - call->refused_at > kRefusalTime) refused.push_back(call);
+  }
+  for (Call* it : refused) it->EndRefusedAttempt();
   if (!draining_since_) return;
   const bool out_of_time =
       now - *draining_since_ > settings_.stop_limit - kStopMargin;
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -88,6 +88,7 @@
       const common::UpstreamName& upstream,
       const std::shared_ptr<forwarding::UpstreamConnection>& connection);
   void OnProgress(Call& call);
+  common::TimePoint Now() const { return environment_.clock.Now(); }
   const forwarding::HeaderCodec& Codec() const {
     return environment_.header_codec;
   }
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -29,6 +29,11 @@
 
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
 constexpr std::size_t kPieceBytes = 16'384;
+// Bytes read and not parsed yet. The parser takes a chunk header and all
+// trailers as a whole and has no limit for either.
+constexpr std::size_t kMaxUnparsedBytes = 131'072;
+// Limit for the body of a response that is collected in memory.
+constexpr std::size_t kMaxFetchedBytes = 8'388'608;
 constexpr unsigned kHttpVersion = 11;
 
 struct Connection {
@@ -36,7 +41,7 @@
       : stream(net::make_strand(context)) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
 };
 
 // Whether an idle connection can be reused. Readable bytes or the end of the
@@ -85,11 +90,12 @@
  public:
   Call(net::io_context& context, std::shared_ptr<ConnectionPool> pool,
        common::Endpoint endpoint, HttpRequest request, common::Duration timeout,
-       CallHandlers handlers)
+       std::size_t max_body_bytes, CallHandlers handlers)
       : context_(context),
         pool_(std::move(pool)),
         endpoint_(std::move(endpoint)),
         timeout_(timeout),
+        body_bytes_left_(max_body_bytes),
         handlers_(std::move(handlers)) {
     message_.version(kHttpVersion);
     message_.method_string(request.method);
@@ -186,6 +192,8 @@
 
   void DeliverPiece() {
     const std::size_t n = piece_.size() - parser_->get().body().size;
+    if (n > body_bytes_left_) return End(CallEnd::kBroken);
+    body_bytes_left_ -= n;
     if (n == 0 || !handlers_.on_body) return ReadBody();
     handlers_.on_body(std::string(piece_.data(), n),
                       [self = shared_from_this()] {
@@ -222,6 +230,7 @@
   std::shared_ptr<ConnectionPool> pool_;
   common::Endpoint endpoint_;
   common::Duration timeout_;
+  std::size_t body_bytes_left_;
   CallHandlers handlers_;
   http::request<http::string_body> message_;
   std::unique_ptr<Connection> connection_;
@@ -241,9 +250,18 @@
                                             HttpRequest request,
                                             common::Duration timeout,
                                             CallHandlers handlers) {
+  return Start(endpoint, std::move(request), timeout,
+               std::numeric_limits<std::size_t>::max(), std::move(handlers));
+}
+
+std::shared_ptr<HttpCall> HttpClient::Start(const common::Endpoint& endpoint,
+                                            HttpRequest request,
+                                            common::Duration timeout,
+                                            std::size_t max_body_bytes,
+                                            CallHandlers handlers) {
   auto call =
       std::make_shared<Call>(context_, pool_, endpoint, std::move(request),
-                             timeout, std::move(handlers));
+                             timeout, max_body_bytes, std::move(handlers));
   call->Start();
   return call;
 }
@@ -255,7 +273,7 @@
   auto response = std::make_shared<HttpResponse>();
   response->status = 0;
   return Start(
-      endpoint, std::move(request), timeout,
+      endpoint, std::move(request), timeout, kMaxFetchedBytes,
       {.on_head =
            [response](const ResponseHead& head) {
              response->status = head.status;
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -60,13 +60,19 @@
                                   CallHandlers handlers);
 
   // Like Start(), but collects the whole response. `status` is 0 if no response
-  // head was received.
+  // head was received. The call ends as broken if the body is longer than 8
+  // MiB.
   using FetchHandler = std::function<void(CallEnd, HttpResponse)>;
   std::shared_ptr<HttpCall> Fetch(const common::Endpoint& endpoint,
                                   HttpRequest request, common::Duration timeout,
                                   FetchHandler handler);
 
  private:
+  std::shared_ptr<HttpCall> Start(const common::Endpoint& endpoint,
+                                  HttpRequest request, common::Duration timeout,
+                                  std::size_t max_body_bytes,
+                                  CallHandlers handlers);
+
   class ConnectionPool;
   class Call;
 
--- a/Source/Core/Transport/HttpSession.cpp
+++ b/Source/Core/Transport/HttpSession.cpp
@@ -24,6 +24,9 @@
 
 constexpr unsigned kHttpVersion = 11;
 constexpr std::size_t kReadAheadBytes = 512;
+// Bytes read and not parsed yet, beside a head. The parser takes a chunk header
+// and all trailers as a whole and has no limit for either.
+constexpr std::size_t kMaxUnparsedBytes = 131'072;
 
 template <typename Body>
 void SetHead(http::response<Body>& response, const HttpResponse& head,
@@ -57,7 +60,9 @@
 
 HttpSession::HttpSession(net::ip::tcp::socket socket,
                          std::shared_ptr<HttpServer::Shared> shared)
-    : stream_(std::move(socket)), shared_(std::move(shared)) {
+    : stream_(std::move(socket)),
+      shared_(std::move(shared)),
+      buffer_(shared_->options.max_header_bytes + kMaxUnparsedBytes) {
   ++shared_->connections;
   error_code ec;
   // Disables Nagle's algorithm: small messages must not wait for
--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/EndlessResponsesTest.cpp
@@ -0,0 +1,104 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+
+#include "Core/Gateway/GatewayFixture.h"
+
+namespace shallotbeam::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+const std::string kUnendingRefusal =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
+    "Content-Length: 99999999999\r\n\r\n";
+
+// Two upstreams, of which the one that is asked first starts a refusal that has
+// no end.
+struct Fixture {
+  explicit Fixture(std::string refusal) : refusal(std::move(refusal)) {
+    fleet.AddUpstream("u1", first.Endpoint());
+    fleet.AddUpstream("u2", second.Endpoint());
+  }
+
+  FakeUpstream::Reaction React(const std::string& request) {
+    return ++requests == 1 ? FakeUpstream::Reaction{refusal}
+                           : RespondDone(request);
+  }
+
+  std::string refusal;
+  int requests = 0;
+  GatewayFixture fleet;
+  FakeUpstream first{fleet.context,
+                     [this](const std::string& it) { return React(it); }};
+  FakeUpstream second{fleet.context,
+                      [this](const std::string& it) { return React(it); }};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(EndlessResponsesTest)
+
+// Guards against a request, which has not run and may be sent elsewhere, that
+// waits for the end of a refusal until its deadline.
+BOOST_AUTO_TEST_CASE(RefusalThatStallsIsNotAwaited) {
+  Fixture it(kUnendingRefusal);
+  Caller caller(it.fleet.context, it.fleet.gateway->CallersPort());
+  caller.Send(GatewayFixture::Request("/order/1"));
+  it.fleet.RunUntil([&] { return it.requests == 1; });
+  it.fleet.RunPending();
+  for (int i = 0; i < 10; ++i) it.fleet.Advance(kTickInterval);
+  it.fleet.RunUntil([&] { return Contains(caller.Received(), "done"); });
+  BOOST_CHECK_EQUAL(it.requests, 2);
+}
+
+BOOST_AUTO_TEST_CASE(RefusalThatGoesOnIsNotAwaited) {
+  Fixture it(kUnendingRefusal + std::string(100'000, 'x'));
+  Caller caller(it.fleet.context, it.fleet.gateway->CallersPort());
+  caller.Send(GatewayFixture::Request("/order/1"));
+  it.fleet.RunUntil([&] { return Contains(caller.Received(), "done"); });
+  BOOST_CHECK_EQUAL(it.requests, 2);
+}
+
+// Guards against a stream whose event never ends: the process would hold all of
+// it, and its caller would wait until the deadline.
+BOOST_AUTO_TEST_CASE(EventWithoutEndBreaksTheStream) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 99999999999\r\n\r\n"
+      "id: 1\ndata: whole\n\n";
+  GatewayFixture fleet;
+  FakeUpstream upstream(fleet.context, [&](const std::string&) {
+    return FakeUpstream::Reaction{head + std::string(3'000'000, 'x')};
+  });
+  fleet.AddUpstream("u1", upstream.Endpoint());
+  Caller caller(fleet.context, fleet.gateway->CallersPort());
+  caller.Send(GatewayFixture::Request("/talk/1"));
+  fleet.RunUntil([&] { return caller.IsClosed(); });
+  BOOST_CHECK(Contains(caller.Received(), "whole"));
+  BOOST_CHECK(!Contains(caller.Received(), "xxx"));
+  BOOST_CHECK(!Contains(caller.Received(), "\r\n0\r\n\r\n"));
+}
+
+// Guards against a stream that stalls but lives on by a byte now and then: it
+// ends at its deadline.
+BOOST_AUTO_TEST_CASE(StalledStreamEndsAtItsDeadline) {
+  GatewayFixture fleet;
+  FakeUpstream upstream(fleet.context, [&](const std::string&) {
+    return FakeUpstream::Reaction{
+        "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 99999\r\n\r\n"
+        "id: 1\ndata: whole\n\n"};
+  });
+  fleet.AddUpstream("u1", upstream.Endpoint());
+  Caller caller(fleet.context, fleet.gateway->CallersPort());
+  caller.Send(GatewayFixture::Request("/talk/1", "Time-Left: 4000\r\n"));
+  fleet.RunUntil([&] { return Contains(caller.Received(), "whole"); });
+  fleet.Advance(3'900ms);
+  BOOST_CHECK(!caller.IsClosed());
+  fleet.Advance(200ms);
+  fleet.RunUntil([&] { return caller.IsClosed(); });
+  BOOST_CHECK(!Contains(caller.Received(), "\r\n0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shallotbeam::gateway
