Answer every caller during an overload instead of closing the listener

A gateway is unready sooner, for at least 5 s, and as soon as its ticks are on time again; one long pass counts for more than before, unless it looks like a suspension. Closed connections no longer count towards the limit.

--- a/Source/Core/Forwarding/CallerServer.h
+++ b/Source/Core/Forwarding/CallerServer.h
@@ -26,10 +26,6 @@
   // Later connections are accepted and serve one request each.
   void Drain();
 
-  // While not accepting, new connections are refused by the kernel, and open
-  // ones end after their current response.
-  void SetAccepting(bool accepting);
-
   // Applies timeouts, and closes idle connections early if more than half of
   // the allowed connections are open; called a few times a second.
   void CheckTimeouts(common::TimePoint now);
@@ -47,10 +43,14 @@
   // Listens again after the acceptor was closed.
   void Reopen();
   void Accept();
-  // Accepts the connections in the listen backlog. Closing the acceptor would
-  // reset them although their requests may have arrived.
+  void RetryAccept();
+  // Accepts the connections in the listen backlog.
   void AcceptPending();
   void Add(boost::asio::ip::tcp::socket socket);
+  // Whether another connection is allowed.
+  bool HasRoom();
+  void LogRefused(boost::system::error_code ec) const;
+  void RemoveClosed();
 
   CallerConnection::Options options_;
   std::size_t max_connections_;
--- a/Source/Core/Overload/LoadShedder.h
+++ b/Source/Core/Overload/LoadShedder.h
@@ -20,9 +20,13 @@
   // two.
   common::Duration tick_delay_limit = std::chrono::milliseconds(10);
   double tick_delay_weight = 0.15;  // weight of the newest tick in the mean
-  // A tick counts as at most this late, so that only repeated late ticks
-  // indicate overload; a single one after a suspension of the host does not.
-  common::Duration max_tick_delay = std::chrono::milliseconds(60);
+  // A tick counts as at most this late.
+  common::Duration max_tick_delay = std::chrono::milliseconds(100);
+  // A tick that is this late probably follows a suspension of the host. It
+  // counts as at most `max_suspension_delay` late, so that only repeated ones
+  // indicate overload.
+  common::Duration suspension = std::chrono::seconds(1);
+  common::Duration max_suspension_delay = std::chrono::milliseconds(60);
   common::Duration adjust_interval = std::chrono::milliseconds(100);
   // The share of the load that is let through is adapted by multiplicative
   // decrease and additive increase.
@@ -30,13 +34,19 @@
   // Factor used instead of `decrease` while the mean tick delay is more than
   // `severe_overload_ratio` times the limit.
   double severe_decrease = 0.7;
-  double severe_overload_ratio = 4;
+  double severe_overload_ratio = 2;
   double increase = 0.015;
+  // Used instead of `increase` while ticks are on time.
+  double idle_increase = 0.05;
+  double idle_ratio = 0.2;
   double min_share = 0.05;
   // Hysteresis: a process becomes overloaded when the share falls below the
   // first value, and recovers when it rises above the second.
-  double overloaded_below = 0.6;
+  double overloaded_below = 0.65;
   double recovered_above = 0.95;
+  // Shortest time for which a process stays overloaded, so that the calls that
+  // it has accepted can end before callers return.
+  common::Duration min_overload = std::chrono::seconds(5);
   // Time constant: arrived cost decays to 1/e over this time.
   common::Duration time_constant = std::chrono::seconds(1);
 };
@@ -47,6 +57,7 @@
   double share = 1;                // fraction of the offered load let through
   // While set, new connections should go to other entry hosts.
   bool overloaded = false;
+  common::TimePoint overloaded_since;
   common::TimePoint next_adjustment;
   common::TimePoint decayed_at;
   // Decayed cost of the arrived requests of each workspace.
