Report changed counters only, and less often to idle gateways

These reports are the largest part of the bytes between zones.

Change: a gateway that has sent no offer for 3 s gets a report a second instead of two; a report has the counters that changed since the report before the last one, and all of them every 8 s. Counters are absolute and only increase, so that lost, repeated and reordered reports leave no error; a single loss is repaired by the next report. A scheduler counts as gone after 2.6 s of silence instead of 1.6 s; offers that it does not answer still end its use after 60 ms.

Not done: sums by data centre, and gateways that use only a part of the engines.

--- a/Source/Core/Balancing/PlacementSearch.h
+++ b/Source/Core/Balancing/PlacementSearch.h
@@ -36,7 +36,8 @@
   // withdrawn and the scheduler gets no offers until it is heard from again.
   common::Duration reply_timeout = std::chrono::milliseconds(60);
   // A scheduler that has sent no message for this long gets no offers.
-  common::Duration scheduler_timeout = std::chrono::milliseconds(1'600);
+  // Covers two reports to an idle gateway, of which one may be lost.
+  common::Duration scheduler_timeout = std::chrono::milliseconds(2'600);
   // An engine further down the candidate list is preferred only if it starts
   // the request this much earlier for each position. It may have to fetch or
   // recompute a prefix that is cached elsewhere, which also evicts other
--- a/Source/Core/Protocol/SchedulingMessages.h
+++ b/Source/Core/Protocol/SchedulingMessages.h
@@ -42,16 +42,18 @@
   std::vector<WorkspaceCounters> not_offered;
 };
 
-// Report that each scheduler sends to each gateway twice a second.
+// Report that each scheduler sends to each gateway once or twice a second.
 struct SchedulerReport {
   common::Endpoint control;
   std::chrono::microseconds expected_wait{0};
   // Expected wait of requests beyond their workspace's fair share.
   std::chrono::microseconds over_share_wait{0};
-  double ns_per_token = 0;                    // prefill time
-  int occupied = 0;                           // slots taken in the engine
-  int waiting = 0;                            // queued offers
-  std::vector<WorkspaceCounters> workspaces;  // since the scheduler started
+  double ns_per_token = 0;  // prefill time
+  int occupied = 0;         // slots taken in the engine
+  int waiting = 0;          // queued offers
+  // Since the scheduler started. Workspaces whose counters have not changed are
+  // left out of most reports.
+  std::vector<WorkspaceCounters> workspaces;
 };
 
 // Offers a request to the scheduler of an engine.
--- a/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
@@ -16,8 +16,8 @@
 using common::Subsystem;
 using std::chrono::milliseconds;
 
-constexpr common::Duration kSchedulerReportInterval =
-    std::chrono::milliseconds(500);
+constexpr common::Duration kReportCheckInterval =
+    std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -94,6 +94,7 @@
                                     const protocol::StartOffer& offer) {
   const common::TimePoint now = environment_.clock.Now();
   gateways_[from.incarnation] = {.control = offer.control, .last_heard = now};
+  scheduling::OnOfferFrom(counter_reports_, now, from.incarnation);
   scheduling::Replies replies;
   scheduling::OnOffer(
       scheduler_, now,
@@ -184,11 +185,13 @@
   scheduling::Replies replies;
   scheduling::OnTick(scheduler_, now, &replies);
   SendReplies(replies);
-  if (now < next_report_) return;
-  next_report_ = now + kSchedulerReportInterval;
+  if (now < next_report_check_) return;
+  next_report_check_ = now + kReportCheckInterval;
   const common::Duration silence = scheduler_.options.gateway_timeout;
   std::erase_if(gateways_, [&](const auto& it) {
-    return now - it.second.last_heard > silence;
+    const bool silent = now - it.second.last_heard > silence;
+    if (silent) scheduling::RemoveReader(counter_reports_, it.first);
+    return silent;
   });
   SendReports();
   metrics_.Update(scheduler_, now, gateways_.size());
@@ -267,12 +270,18 @@
       .ns_per_token = scheduling::NanosecondsPerToken(scheduler_.prefill_rate),
       .occupied = scheduling::OccupiedSlots(scheduler_),
       .waiting = static_cast<int>(scheduler_.waiting.size())};
-  for (const auto& [workspace, tokens] : scheduler_.service) {
-    load_report.workspaces.push_back({.workspace = workspace,
-                                      .requested = tokens.requested,
-                                      .served = tokens.served});
+  scheduling::UpdateCounters(counter_reports_, now, scheduler_.service);
+  for (const auto& [incarnation, it] : gateways_) {
+    if (!scheduling::IsReportDue(counter_reports_, now, incarnation)) continue;
+    load_report.workspaces.clear();
+    for (const scheduling::CounterRow& row :
+         scheduling::RowsForReport(counter_reports_, now, incarnation)) {
+      load_report.workspaces.push_back({.workspace = row.workspace,
+                                        .requested = row.counters.requested,
+                                        .served = row.counters.served});
+    }
+    Send(it.control, load_report);
   }
-  for (const auto& [incarnation, it] : gateways_) Send(it.control, load_report);
   Log(Subsystem::kAdmission, LogLevel::kDebug,
       "event=load occupied={} waiting={} wait_us={} ns_per_token={:.0f} "
       "base_ms={} cached_tokens={:.0f} end_interval_ms={} gateways={}",
--- a/Source/Core/SchedulerRuntime/SchedulerDriver.h
+++ b/Source/Core/SchedulerRuntime/SchedulerDriver.h
@@ -11,6 +11,7 @@
 #include "Protocol/SchedulingMessages.h"
 #include "SchedulerRuntime/SchedulerMetrics.h"
 #include "SchedulerRuntime/SchedulerSettings.h"
+#include "Scheduling/CounterReports.h"
 #include "Scheduling/EngineScheduler.h"
 
 namespace shallotbeam::scheduler_runtime {
@@ -64,6 +65,7 @@
   void LogReply(const scheduling::OfferReply& reply) const;
   // Logs the prompts that were in prefill while a stream stalled.
   void LogStreamStall(scheduling::OfferId id) const;
+  // Sends the reports that are due.
   void SendReports();
   void Send(const common::Endpoint& peer, protocol::SchedulingBody body);
 
@@ -73,11 +75,12 @@
   scheduling::EngineScheduler scheduler_;
   SchedulerMetrics metrics_;
   std::map<common::Incarnation, Gateway> gateways_;
+  scheduling::CounterReports counter_reports_;
   common::UpstreamName upstream_;
   std::uint64_t upstream_started_ = 0;
   // When a gateway last reported the current engine.
   common::TimePoint upstream_last_reported_;
-  common::TimePoint next_report_;
+  common::TimePoint next_report_check_;
 };
 
 }  // namespace shallotbeam::scheduler_runtime
