Limit an unexpected exception to the event that caused it

Cause: a response of the store with a field of another type, such as "truncated": 1, threw in a network callback and ended the gateway; so did an exception out of any other handler, in gateway and scheduler.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Common/HandlerGuard.h"
 #include "Common/Logging.h"
 #include "Gateway/GatewayResponses.h"
 
@@ -106,7 +107,8 @@
                         .ready = IsReady(),
                         .store_age = StoreAge(),
                         .configuration_version = VersionOf(table_.get()),
-                        .log_lines_dropped = common::DroppedLogLines()});
+                        .log_lines_dropped = common::DroppedLogLines(),
+                        .handler_failures = common::HandlerFailures()});
 }
 
 void Gateway::OnTick() {
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -92,6 +92,7 @@
   set("configuration_version",
       static_cast<double>(gauges.configuration_version));
   set("log_lines_dropped", static_cast<double>(gauges.log_lines_dropped));
+  set("handler_failures", static_cast<double>(gauges.handler_failures));
   return runtime::MetricsText(*registry_);
 }
 
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -28,6 +28,7 @@
   std::optional<common::Duration> store_age;  // absent before the first list
   std::uint64_t configuration_version = 0;
   std::uint64_t log_lines_dropped = 0;
+  std::uint64_t handler_failures = 0;
 };
 
 // Used by one thread.
--- a/Source/Core/Gateway/GatewayProcess.cpp
+++ b/Source/Core/Gateway/GatewayProcess.cpp
@@ -109,7 +109,7 @@
   });
   const runtime::StopSignals signals(
       context, [&] { gateway.Drain([&context] { context.stop(); }); });
-  context.run();
+  runtime::RunContext(context);
   common::Log(common::Subsystem::kMain, common::LogLevel::kInfo,
               "event=stopped");
   return absl::OkStatus();
--- a/Source/Core/Runtime/ProcessEvents.cpp
+++ b/Source/Core/Runtime/ProcessEvents.cpp
@@ -3,10 +3,21 @@
 #include <csignal>
 #include <utility>
 
+#include "Common/HandlerGuard.h"
 #include "Common/Logging.h"
 
 namespace shallotbeam::runtime {
 
+void RunContext(boost::asio::io_context& context) {
+  bool done = false;
+  while (!done) {
+    common::RunGuarded("context", [&] {
+      context.run();
+      done = true;
+    });
+  }
+}
+
 Ticker::Ticker(boost::asio::io_context& context, common::Duration interval,
                std::function<void()> action)
     : timer_(context), interval_(interval), action_(std::move(action)) {
@@ -17,7 +28,7 @@
   timer_.expires_after(interval_);
   timer_.async_wait([this](boost::system::error_code ec) {
     if (ec) return;
-    action_();
+    common::RunGuarded("tick", action_);
     Schedule();
   });
 }
--- a/Source/Core/Runtime/ProcessEvents.h
+++ b/Source/Core/Runtime/ProcessEvents.h
@@ -10,6 +10,10 @@
 
 namespace shallotbeam::runtime {
 
+// Runs the handlers of `context` until it stops or has no work left. An
+// exception ends the handler that threw it and no other.
+void RunContext(boost::asio::io_context& context);
+
 // Calls `action` periodically on the thread of the context until the context
 // stops. The interval starts when the previous call returns.
 class Ticker {
--- a/Source/Core/SchedulerRuntime/SchedulerProcess.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerProcess.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "Common/Clock.h"
+#include "Common/HandlerGuard.h"
 #include "Common/Logging.h"
 #include "Runtime/ActorHost.h"
 #include "Runtime/MetricsPage.h"
@@ -49,13 +50,19 @@
 
 caf::behavior SchedulerActor(caf::event_based_actor* /*self*/,
                              const std::shared_ptr<SchedulerDriver>& driver) {
+  // An exception would end the actor.
   return {[driver](const ControlMessage& message) {
-            driver->OnControlMessage(message.bytes);
+            common::RunGuarded("control_message", [&] {
+              driver->OnControlMessage(message.bytes);
+            });
           },
           [driver](const ReportMessage& message) {
-            driver->OnReport(message.report);
+            common::RunGuarded("engine_report",
+                               [&] { driver->OnReport(message.report); });
           },
-          [driver](const TickMessage&) { driver->OnTick(); }};
+          [driver](const TickMessage&) {
+            common::RunGuarded("tick", [&] { driver->OnTick(); });
+          }};
 }
 
 // Polls the engine's load and sends each report to the scheduler's actor.
@@ -134,7 +141,7 @@
               settings.name.value, common::ToString(settings.engine),
               common::ToString(settings.control));
   const runtime::StopSignals signals(context, [&context] { context.stop(); });
-  context.run();
+  runtime::RunContext(context);
   return absl::OkStatus();
 }
 
--- a/Source/Core/Transport/Datagrams.cpp
+++ b/Source/Core/Transport/Datagrams.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <utility>
 
-#include "Common/Logging.h"
+#include "Common/HandlerGuard.h"
 #include "absl/strings/str_cat.h"
 
 namespace shallotbeam::transport {
@@ -69,13 +69,15 @@
       buffer_(std::make_unique<std::array<char, kMaxDatagram>>()) {}
 
 void DatagramReceiver::Receive() {
-  socket_.async_receive(net::buffer(*buffer_),
-                        [this](error_code ec, std::size_t n) {
-                          if (ec == net::error::operation_aborted) return;
-                          // Other errors report that a peer is unreachable.
-                          if (!ec) receiver_({buffer_->data(), n});
-                          Receive();
-                        });
+  socket_.async_receive(net::buffer(*buffer_), [this](error_code ec,
+                                                      std::size_t n) {
+    if (ec == net::error::operation_aborted) return;
+    // Other errors report that a peer is unreachable.
+    if (!ec) {
+      common::RunGuarded("datagram", [&] { receiver_({buffer_->data(), n}); });
+    }
+    Receive();
+  });
 }
 
 }  // namespace shallotbeam::transport
