--- a/Source/Core/Overload/LoadShedder.h
+++ b/Source/Core/Overload/LoadShedder.h
@@ -10,8 +10,8 @@
 // may send many times its usual load to an entry host that has little processor
 // time. All other callers of that host then wait as well. The gateway
 // therefore rejects the load that it cannot handle, only from the workspaces
-// with the highest load; rejected callers retry at other entry hosts. This code
-// only decides; it performs no I/O.
+// with the highest load; rejected callers retry when the load balancer has
+// moved them to another entry host. This code only decides; it performs no I/O.
 namespace shallotbeam::overload {
 
 struct LoadShedderOptions {
@@ -36,7 +36,8 @@
   double severe_decrease = 0.7;
   double severe_overload_ratio = 2;
   double increase = 0.015;
-  // Used instead of `increase` while ticks are on time.
+  // Increase used instead while the mean tick delay is less than `idle_ratio`
+  // times the limit, so that an idle process serves all callers again soon.
   double idle_increase = 0.05;
   double idle_ratio = 0.2;
   double min_share = 0.05;
