Answer requests that arrive just before a draining gateway exits

Cause: a drain ended at a tick without calls, although requests had arrived that no handler had read: in the listen backlog, or on accepted connections. The exit cut them without an answer.

Change: a drained gateway accepts what is pending, stops listening, and exits at a later tick when no connection has an unanswered byte, or shortly before it would be killed.

--- a/Source/Core/Forwarding/AppendingBody.h
+++ b/Source/Core/Forwarding/AppendingBody.h
@@ -13,6 +13,7 @@
 // allocates the stated length at once, so that a peer that states a length of
 // terabytes makes the allocation fail.
 struct AppendingBody {
+  // Beast requires these names. NOLINTBEGIN(readability-identifier-naming)
   using value_type = std::string;
 
   class reader {
@@ -44,6 +45,7 @@
    private:
     value_type& body_;
   };
+  // NOLINTEND(readability-identifier-naming)
 };
 
 }  // namespace shallotbeam::forwarding
--- a/Source/Core/Forwarding/CallerConnection.cpp
+++ b/Source/Core/Forwarding/CallerConnection.cpp
@@ -69,6 +69,23 @@
   return !ec || ec == net::error::would_block;
 }
 
+bool CallerConnection::HasUnansweredBytes() {
+  switch (state_) {
+    case State::kReading:
+    case State::kServing:
+      return true;
+    case State::kIdle: {
+      error_code ec;
+      return !input_.empty() || socket_.available(ec) != 0;
+    }
+    case State::kLingering:
+      return !output_.empty();
+    case State::kClosed:
+      return false;
+  }
+  return false;
+}
+
 void CallerConnection::Read() {
   if (reading_ || state_ == State::kClosed) return;
   if (input_.size() > kMaxReadAhead && state_ == State::kServing) return;
--- a/Source/Core/Forwarding/CallerConnection.h
+++ b/Source/Core/Forwarding/CallerConnection.h
@@ -90,6 +90,9 @@
   // Whether the caller has neither closed nor reset the connection. Checks the
   // socket, because such an event may not have been read yet.
   bool IsConnected();
+  // Whether the caller has sent any part of a request that is not answered yet,
+  // read or not, or a response is not sent yet.
+  bool HasUnansweredBytes();
 
   // Closes the connection after the current response or, if it is idle, after
   // the next one.
--- a/Source/Core/Forwarding/CallerServer.cpp
+++ b/Source/Core/Forwarding/CallerServer.cpp
@@ -141,6 +141,19 @@
   for (const auto& it : connections_) it->CloseWhenIdle();
 }
 
+void CallerServer::StopListening() {
+  if (!acceptor_.is_open()) return;
+  AcceptPending();
+  error_code ec;
+  acceptor_.close(ec);
+  accept_retry_timer_.cancel();
+}
+
+bool CallerServer::HasUnansweredRequests() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& it) { return it->HasUnansweredBytes(); });
+}
+
 void CallerServer::CheckTimeouts(common::TimePoint now) {
   const bool half_full = IsHalfFull();
   for (const auto& it : connections_) {
--- a/Source/Core/Forwarding/CallerServer.h
+++ b/Source/Core/Forwarding/CallerServer.h
@@ -26,6 +26,11 @@
   // Later connections are accepted and serve one request each.
   void Drain();
 
+  // Accepts the connections that have arrived, and no more. Requests on them
+  // are served.
+  void StopListening();
+  bool HasUnansweredRequests() const;
+
   // Applies timeouts, and closes idle connections early if more than half of
   // the allowed connections are open; called a few times a second.
   void CheckTimeouts(common::TimePoint now);
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -181,12 +181,23 @@
     if (now - call->refused_at > kRefusalTime) refused.push_back(call);
   }
   for (Call* it : refused) it->EndRefusedAttempt();
-  if (!draining_since_) return;
-  const bool out_of_time =
-      now - *draining_since_ > settings_.stop_limit - kStopMargin;
-  const bool idle =
-      now - *draining_since_ > kReadinessNoticeTime && calls_.empty();
-  if ((idle || out_of_time) && on_drained_) std::exchange(on_drained_, {})();
+  CheckDrain(now);
+}
+
+void Gateway::CheckDrain(common::TimePoint now) {
+  if (!draining_since_ || !on_drained_) return;
+  const common::Duration drained_for = now - *draining_since_;
+  const bool out_of_time = drained_for > settings_.stop_limit - kStopMargin;
+  if (out_of_time) return std::exchange(on_drained_, {})();
+  if (drained_for <= kReadinessNoticeTime || !calls_.empty()) return;
+  // Requests may have arrived that no handler has read yet. They are answered
+  // first, so that the process exits at a later tick.
+  if (!listening_stopped_) {
+    listening_stopped_ = true;
+    return caller_server_.StopListening();
+  }
+  if (caller_server_.HasUnansweredRequests()) return;
+  std::exchange(on_drained_, {})();
 }
 
 void Gateway::Drain(std::function<void()> on_done) {
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -158,6 +158,8 @@
   void RemoveCall(Call& call);
   void LogLoad(common::TimePoint now);
   void CheckDeadlines();
+  // Ends the drain when all requests are answered or the time is up.
+  void CheckDrain(common::TimePoint now);
   SchedulerClient::InProgress StartsInProgress() const;
   std::optional<common::Duration> StoreAge() const;
 
@@ -185,6 +187,7 @@
   std::mt19937_64 random_;
   std::optional<common::TimePoint> draining_since_;
   std::function<void()> on_drained_;
+  bool listening_stopped_ = false;
   common::TimePoint next_check_;
   common::TimePoint next_load_log_;
 };
