--- a/Source/UnitTests/Core/Balancing/PlacementSearchTest.cpp
+++ b/Source/UnitTests/Core/Balancing/PlacementSearchTest.cpp
@@ -269,6 +269,31 @@
   BOOST_CHECK(state.offers.empty());
 }
 
+// A scheduler is frozen or its reports are lost for 1, 3 or 10 s. Guards
+// against running work of its engine that is started again elsewhere or given
+// up, and against an engine that gets no new work after its scheduler's return.
+BOOST_AUTO_TEST_CASE(SilentSchedulerKeepsItsRunningWork) {
+  for (const common::Duration silence : {1s, 3s, 10s}) {
+    actions.clear();
+    for (const auto& it : {kA, kB, kC}) Hear(it);
+    Begin();
+    Reply(kA, LastOfferTo(kA), common::OfferDecision::kStart);
+    actions.clear();
+    for (common::Duration t{0}; t < silence; t += 20ms) {
+      Tick(20ms);
+      Hear(kB);
+    }
+    BOOST_CHECK(ActionsOf<SendOffer>().empty());
+    BOOST_CHECK(ActionsOf<WithdrawOffer>().empty());
+    BOOST_CHECK(ActionsOf<StartAt>().empty());
+    Hear(kA);
+    actions.clear();
+    Begin();
+    BOOST_CHECK_NE(LastOfferTo(kA), 0);
+    EndSearch(state, SearchId{1}, &actions);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::balancing
--- a/Source/UnitTests/Core/Gateway/EndlessResponsesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/EndlessResponsesTest.cpp
@@ -1,3 +1,4 @@
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 
@@ -99,6 +100,50 @@
   BOOST_CHECK(!Contains(caller.Received(), "\r\n0\r\n\r\n"));
 }
 
+// Guards against a slow but sound stream that is cut: its events come at nine
+// tenths of the accepted gap for a minute.
+BOOST_AUTO_TEST_CASE(SlowStreamIsRelayedToItsEnd) {
+  GatewayFixture fleet;
+  catalogue::Catalogue catalogue = fleet.catalogue;
+  catalogue.version = static_cast<common::ConfigVersion>(9);
+  for (catalogue::Route& it : catalogue.routes) {
+    it.timeout = 120s;
+    it.event_gap_target = 400ms;
+  }
+  fleet.PutCatalogue(catalogue);
+  namespace net = boost::asio;
+  net::ip::tcp::acceptor acceptor(fleet.context,
+                                  {net::ip::address_v4::loopback(), 0});
+  fleet.AddUpstream(
+      "u1", {.address = "127.0.0.1", .port = acceptor.local_endpoint().port()});
+  Caller caller(fleet.context, fleet.gateway->CallersPort());
+  caller.Send(GatewayFixture::Request("/talk/1", "Time-Left: 90000\r\n"));
+  net::ip::tcp::socket upstream(fleet.context);
+  bool accepted = false;
+  acceptor.async_accept(
+      upstream, [&accepted](boost::system::error_code) { accepted = true; });
+  fleet.RunUntil([&accepted] { return accepted; });
+  const std::string event = "id: 7\ndata: x\n\n";
+  const int events = 60'000 / 360;
+  net::write(upstream,
+             net::buffer("HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: " +
+                         std::to_string(events * event.size()) + "\r\n\r\n"));
+  for (int i = 0; i < events; ++i) {
+    fleet.clock.Advance(360ms);
+    fleet.gateway->OnTick();
+    net::write(upstream, net::buffer(event));
+    fleet.context.restart();
+    fleet.context.poll();
+  }
+  fleet.RunUntil([&] { return Contains(caller.Received(), "\r\n0\r\n\r\n"); });
+  std::size_t relayed = 0;
+  for (std::size_t at = caller.Received().find(event); at != std::string::npos;
+       at = caller.Received().find(event, at + 1)) {
+    ++relayed;
+  }
+  BOOST_CHECK_EQUAL(relayed, events);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::gateway
