--- a/Source/UnitTests/Core/Gateway/ChangeRelayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ChangeRelayTest.cpp
@@ -69,10 +69,9 @@
     context.restart();
   }
   // The store answers the relay's own poll.
-  void ReceiveFromStore(clients::ChangesResult changes) {
+  void ReceiveFromStore(const clients::ChangesResult& changes) {
     clients::NextCall(session, clock.Now());
-    const auto update =
-        clients::OnChanges(session, clock.Now(), std::move(changes));
+    const auto update = clients::OnChanges(session, clock.Now(), changes);
     for (const auto& it : update.changes) relay.Record(it);
     relay.OnUpdate(update);
     Run();
