--- a/Source/UnitTests/Core/Forwarding/CallerConnectionTest.cpp
+++ b/Source/UnitTests/Core/Forwarding/CallerConnectionTest.cpp
@@ -3,13 +3,12 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
-#include <ostream>
 #include <string>
 #include <vector>
 
 #include "Common/Clock.h"
+#include "Core/Forwarding/EndlessSender.h"
 #include "Forwarding/CallerServer.h"
-#include "ResidentMemory.h"
 
 namespace shallotbeam::forwarding {
 
@@ -19,11 +18,6 @@
 namespace net = boost::asio;
 using boost::system::error_code;
 
-constexpr std::size_t kMebibyte = 1'048'576;
-// An entry host has 96 MB, so that one connection may not take more than a few.
-constexpr std::size_t kMemoryBound = 8 * kMebibyte;
-constexpr std::size_t kSentBound = 64 * kMebibyte;
-
 // Serves every request and counts them.
 class CountingHandler : public CallerHandler {
  public:
@@ -76,6 +70,11 @@
     Run();
   }
 
+  EndlessResult SendUntilMalformed(const std::string& bytes) {
+    return SendEndlessly(context, socket, bytes,
+                         [this] { return handler.malformed != 0; });
+  }
+
   void Advance(common::Duration time) {
     clock.Advance(time);
     server.CheckTimeouts(clock.Now());
@@ -87,17 +86,6 @@
   }
 };
 
-struct EndlessCase {
-  const char* name;
-  std::string start;
-  std::string repeated;
-};
-
-std::ostream& operator<<(std::ostream& out, const EndlessCase& it) {
-  return out << it.name;
-}
-
-const std::string kFiller(16'384, 'a');
 const std::string kChunkedHead =
     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -129,27 +117,13 @@
                      boost::unit_test::data::make(EndlessCases()), endless) {
   Fixture it;
   it.Send(endless.start);
-  const std::size_t before = ResidentBytes();
-  std::size_t highest = before;
-  std::size_t sent = 0;
-  std::size_t offset = 0;
-  const std::string& bytes = endless.repeated;
-  while (it.handler.malformed == 0 && sent < kSentBound) {
-    error_code ec;
-    const std::size_t n = it.socket.write_some(
-        net::buffer(bytes.data() + offset, bytes.size() - offset), ec);
-    if (ec && ec != net::error::would_block) break;
-    sent += n;
-    offset = (offset + n) % bytes.size();
-    it.context.poll();
-    it.context.restart();
-    highest = std::max(highest, ResidentBytes());
-  }
-  BOOST_TEST_MESSAGE(endless.name << ": " << (highest - before) / 1'024
-                                  << " KiB after " << sent / 1'024 << " KiB");
+  const EndlessResult result = it.SendUntilMalformed(endless.repeated);
+  BOOST_TEST_MESSAGE(endless.name << ": " << result.growth / 1'024
+                                  << " KiB after " << result.sent / 1'024
+                                  << " KiB");
   BOOST_CHECK_NE(it.handler.malformed, 0);
   BOOST_CHECK_EQUAL(it.handler.served, 0);
-  BOOST_CHECK_LT(highest - before, kMemoryBound);
+  BOOST_CHECK_LT(result.growth, kMemoryBound);
   it.Run();
   it.Advance(25s);
   BOOST_CHECK_EQUAL(it.server.Connections(), 0);
--- a/Source/UnitTests/Core/Forwarding/UpstreamConnectionTest.cpp
+++ b/Source/UnitTests/Core/Forwarding/UpstreamConnectionTest.cpp
@@ -4,13 +4,12 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
-#include <ostream>
 #include <string>
 #include <vector>
 
 #include "Common/Clock.h"
+#include "Core/Forwarding/EndlessSender.h"
 #include "Forwarding/UpstreamConnection.h"
-#include "ResidentMemory.h"
 
 namespace shallotbeam::forwarding {
 
@@ -21,11 +20,6 @@
 using boost::system::error_code;
 using net::ip::tcp;
 
-constexpr std::size_t kMebibyte = 1'048'576;
-// An entry host has 96 MB, so that one connection may not take more than a few.
-constexpr std::size_t kMemoryBound = 8 * kMebibyte;
-constexpr std::size_t kSentBound = 64 * kMebibyte;
-
 RequestMetadata DecodeRequest(const Fields& /*fields*/) { return {}; }
 ResponseMetadata DecodeResponse(int /*status*/, const Fields& fields) {
   return {.request_id = std::string(fields["Id"])};
@@ -98,26 +92,13 @@
     Run();
   }
 
-  // Sends `bytes` again and again until the exchange has ended or `limit` bytes
-  // were sent. Returns the highest growth of resident memory.
-  std::size_t ReplyEndlessly(const std::string& bytes, std::size_t limit) {
-    const std::size_t before = ResidentBytes();
-    std::size_t highest = before;
-    std::size_t sent = 0;
-    std::size_t offset = 0;
-    while (!listener.end && sent < limit) {
-      error_code ec;
-      const std::size_t n = peer.write_some(
-          net::buffer(bytes.data() + offset, bytes.size() - offset), ec);
-      if (ec && ec != net::error::would_block) break;
-      sent += n;
-      offset = (offset + n) % bytes.size();
-      context.poll();
-      context.restart();
-      highest = std::max(highest, ResidentBytes());
-    }
+  // Sends `bytes` until the exchange has ended. Returns the highest growth of
+  // resident memory.
+  std::size_t ReplyEndlessly(const std::string& bytes) {
+    const EndlessResult result = SendEndlessly(
+        context, peer, bytes, [this] { return listener.end.has_value(); });
     Run();
-    return highest - before;
+    return result.growth;
   }
 
   // Serves one request, so that the connection is in use again afterwards.
@@ -131,18 +112,6 @@
   }
 };
 
-struct EndlessCase {
-  const char* name;
-  std::string start;
-  std::string repeated;
-};
-
-std::ostream& operator<<(std::ostream& out, const EndlessCase& it) {
-  return out << it.name;
-}
-
-const std::string kFiller(16'384, 'a');
-
 const std::vector<EndlessCase>& EndlessCases() {
   static const std::vector<EndlessCase> cases = {
       {"no HTTP", "", kFiller},
@@ -181,7 +150,7 @@
   Fixture it;
   it.Send("a");
   it.Reply(endless.start);
-  const std::size_t growth = it.ReplyEndlessly(endless.repeated, kSentBound);
+  const std::size_t growth = it.ReplyEndlessly(endless.repeated);
   BOOST_TEST_MESSAGE(endless.name << ": " << growth / 1'024 << " KiB");
   BOOST_CHECK(it.listener.end == ExchangeEnd::kBroken);
   BOOST_CHECK(!it.connection->IsOpen());
