Log how long calls to the store take and where a version comes from

The lines of the incident can't tell a poll that was never answered from a relay that passed on an old copy: store_lost named no duration and no age, and config_in_force no source. store_lost and store_regained now have call_ms and store_age_ms, store_relay_failed has timed_out and call_ms, and config_received names the source, the duration and the age that a relay stated.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -216,27 +216,43 @@
     return environment_.store.List(
         "", list->after, [this](const platform_clients::ListResult& result) {
           ApplyStoreUpdate(platform_clients::OnListed(
-              store_, environment_.clock.Now(), result));
+                               store_, environment_.clock.Now(), result),
+                           {.source = "list"});
         });
   }
   const auto& poll = std::get<platform_clients::PollCall>(*call);
   environment_.store.AwaitChanges(
       "", poll.revision, poll.wait,
       [this](const platform_clients::ChangesResult& result) {
-        ApplyStoreUpdate(platform_clients::OnChanges(
-            store_, environment_.clock.Now(), result));
+        ApplyStoreUpdate(
+            platform_clients::OnChanges(store_, environment_.clock.Now(),
+                                        result),
+            {.source = result.copy ? "relay" : "store",
+             .copy_age = result.copy ? result.copy->age : milliseconds(0)});
       });
 }
 
-void Gateway::ApplyStoreUpdate(const platform_clients::StoreUpdate& update) {
+void Gateway::ApplyStoreUpdate(const platform_clients::StoreUpdate& update,
+                               const ResultOrigin& origin) {
+  const milliseconds call_time =
+      std::chrono::duration_cast<milliseconds>(Now() - store_.call_sent);
   if (update.disconnected || update.reconnected) {
-    Log(Subsystem::kPlatform, LogLevel::kWarning, "event=store_{}",
-        update.disconnected ? "lost" : "regained");
+    Log(Subsystem::kPlatform, LogLevel::kWarning,
+        "event=store_{} call_ms={} store_age_ms={}",
+        update.disconnected ? "lost" : "regained", call_time.count(),
+        StoreAge().value_or(milliseconds(-1)) / milliseconds(1));
   }
   for (const platform_clients::ItemChange& it : update.changes) {
     const auto change = environment_.decode(it);
     if (!change) continue;
     if (change_relay_ && IsRelayed(*change)) change_relay_->Record(it);
+    if (change->catalogue) {
+      Log(Subsystem::kConfig, LogLevel::kInfo,
+          "event=config_received version={} source={} call_ms={} "
+          "copy_age_ms={}",
+          common::ToNumber(change->catalogue->version), origin.source,
+          call_time.count(), origin.copy_age.count());
+    }
     ApplyChange(*change);
   }
   if (change_relay_) change_relay_->OnUpdate(update);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -100,8 +100,15 @@
   }
 
  private:
+  // How a result reached this process; for logs.
+  struct ResultOrigin {
+    std::string_view source;                // "list", "store" or "relay"
+    std::chrono::milliseconds copy_age{0};  // as stated by the relay
+  };
+
   void SendStoreCall();
-  void ApplyStoreUpdate(const platform_clients::StoreUpdate& update);
+  void ApplyStoreUpdate(const platform_clients::StoreUpdate& update,
+                        const ResultOrigin& origin);
   void ApplyChange(const FleetChange& change);
   // Whether other gateways need the change. Upstreams renew their entries about
   // once a second, mostly without a change of their state.
--- a/Source/Core/PlatformClients/RelayedStore.cpp
+++ b/Source/Core/PlatformClients/RelayedStore.cpp
@@ -65,11 +65,12 @@
   client_.Fetch(relay->endpoint,
                 {.method = "GET", .target = EncodeRelayPoll(poll)},
                 poll.wait + options_.response_timeout,
-                [this, relay, prefix, revision, wait, done = std::move(done)](
-                    CallEnd end, const HttpResponse& response) mutable {
+                [this, relay, prefix, revision, wait, sent = clock_.Now(),
+                 done = std::move(done)](CallEnd end,
+                                         const HttpResponse& response) mutable {
                   auto result = AcceptResponse(end, response, revision);
                   if (result) return done(*std::move(result));
-                  MarkFailed(*relay, response.status);
+                  MarkFailed(*relay, end, response.status, clock_.Now() - sent);
                   store_.AwaitChanges(prefix, revision, wait, std::move(done));
                 });
 }
@@ -83,11 +84,15 @@
   return result;
 }
 
-void RelayedStore::MarkFailed(Relay& relay, int status) {
+void RelayedStore::MarkFailed(Relay& relay, CallEnd end, int status,
+                              common::Duration call_time) {
   relay.retry_at = clock_.Now() + options_.retry_after;
   common::Log(common::Subsystem::kPlatform, common::LogLevel::kInfo,
-              "event=store_relay_failed relay={} status={}",
-              common::ToString(relay.endpoint), status);
+              "event=store_relay_failed relay={} status={} timed_out={} "
+              "call_ms={}",
+              common::ToString(relay.endpoint), status,
+              end == CallEnd::kTimedOut,
+              call_time / std::chrono::milliseconds(1));
 }
 
 }  // namespace shallotbeam::platform_clients
--- a/Source/Core/PlatformClients/RelayedStore.h
+++ b/Source/Core/PlatformClients/RelayedStore.h
@@ -51,7 +51,8 @@
   std::optional<ChangesResult> AcceptResponse(
       transport::CallEnd end, const transport::HttpResponse& response,
       std::uint64_t revision) const;
-  void MarkFailed(Relay& relay, int status);
+  void MarkFailed(Relay& relay, transport::CallEnd end, int status,
+                  common::Duration call_time);
 
   ItemStore& store_;
   transport::HttpClient& client_;
