Don't reuse connections that may have gone silent

Cause: the HTTP client keeps idle connections for as long as no end of stream arrives, and a silent connection never shows one. After a call that timed out it took the next kept connection.

Both new cases of HttpClientTest fail before: the second call ends by its time-out, and so does each further one.

--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -35,6 +35,7 @@
 // Limit for the body of a response that is collected in memory.
 constexpr std::size_t kMaxFetchedBytes = 8'388'608;
 constexpr unsigned kHttpVersion = 11;
+const common::SteadyClock kSteadyClock;
 
 struct Connection {
   explicit Connection(net::io_context& context)
@@ -60,13 +61,20 @@
 // Pool of idle connections by endpoint. Thread-safe.
 class HttpClient::ConnectionPool {
  public:
+  ConnectionPool(const common::Clock& clock, const HttpClientOptions& options)
+      : clock_(clock), options_(options) {}
+
   std::unique_ptr<Connection> Acquire(const common::Endpoint& endpoint) {
     const std::lock_guard<std::mutex> lock(mutex_);
+    const common::TimePoint now = clock_.Now();
     auto& idle = idle_[endpoint];
     while (!idle.empty()) {
-      std::unique_ptr<Connection> connection = std::move(idle.back());
+      Idle last = std::move(idle.back());
       idle.pop_back();
-      if (IsReusable(*connection)) return connection;
+      const bool recent = now - last.since <= options_.max_idle;
+      if (recent && IsReusable(*last.connection)) {
+        return std::move(last.connection);
+      }
     }
     return nullptr;
   }
@@ -76,13 +84,26 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     auto& idle = idle_[endpoint];
     if (idle.size() < kMaxIdlePerEndpoint) {
-      idle.push_back(std::move(connection));
+      idle.push_back(
+          {.connection = std::move(connection), .since = clock_.Now()});
     }
   }
 
+  void CloseIdle(const common::Endpoint& endpoint) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    idle_.erase(endpoint);
+  }
+
  private:
+  struct Idle {
+    std::unique_ptr<Connection> connection;
+    common::TimePoint since;
+  };
+
+  const common::Clock& clock_;
+  const HttpClientOptions options_;
   std::mutex mutex_;
-  std::map<common::Endpoint, std::vector<std::unique_ptr<Connection>>> idle_;
+  std::map<common::Endpoint, std::vector<Idle>> idle_;
 };
 
 class HttpClient::Call : public HttpCall,
@@ -220,6 +241,7 @@
     if (connection_ != nullptr && end != CallEnd::kComplete) {
       connection_->stream.close();
     }
+    if (end == CallEnd::kTimedOut) pool_->CloseIdle(endpoint_);
     // Release the handlers, which hold references to objects of the caller.
     const CallHandlers handlers = std::move(handlers_);
     handlers_ = {};
@@ -242,7 +264,12 @@
 };
 
 HttpClient::HttpClient(net::io_context& context)
-    : context_(context), pool_(std::make_shared<ConnectionPool>()) {}
+    : HttpClient(context, kSteadyClock, {}) {}
+
+HttpClient::HttpClient(net::io_context& context, const common::Clock& clock,
+                       const HttpClientOptions& options)
+    : context_(context),
+      pool_(std::make_shared<ConnectionPool>(clock, options)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -47,10 +47,22 @@
   virtual void Cancel() = 0;
 };
 
-// Sends requests over keep-alive connections from a pool.
+struct HttpClientOptions {
+  // Idle connections are kept for this long. A connection can go silent without
+  // being closed, which only the timeout of the next call on it would show, so
+  // that calls which must be answered soon need a short time.
+  common::Duration max_idle = std::chrono::hours(1);
+};
+
+// Sends requests over keep-alive connections from a pool. When a call times
+// out, the idle connections to its endpoint are closed as well, because they
+// may be as silent as the one that it used.
 class HttpClient {
  public:
   explicit HttpClient(boost::asio::io_context& context);
+  // `clock` must outlive the client.
+  HttpClient(boost::asio::io_context& context, const common::Clock& clock,
+             const HttpClientOptions& options);
   ~HttpClient();
 
   // `timeout` covers the whole call, from connecting to the end of the
--- a/Source/UnitTests/Core/Transport/HttpClientTest.cpp
+++ b/Source/UnitTests/Core/Transport/HttpClientTest.cpp
@@ -1,3 +1,9 @@
+#include <array>
+#include <list>
+#include <memory>
+#include <optional>
+
+#include "Common/Clock.h"
 #include "HttpFixture.h"
 #include "Transport/HttpClient.h"
 
@@ -22,10 +28,94 @@
   return promise.get_future().get();
 }
 
+// Answers the first request of each connection and is silent on it afterwards.
+class OneAnswerServer {
+ public:
+  explicit OneAnswerServer(boost::asio::io_context& context)
+      : acceptor_(context, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    Accept();
+  }
+
+  common::Endpoint Address() const {
+    return {.address = "127.0.0.1", .port = acceptor_.local_endpoint().port()};
+  }
+  std::size_t Connections() const { return connections_.size(); }
+
+ private:
+  struct Connection {
+    boost::asio::ip::tcp::socket socket;
+    std::array<char, 4096> buf{};
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](boost::system::error_code ec,
+                                  boost::asio::ip::tcp::socket socket) {
+      if (ec) return;
+      Connection& connection = connections_.emplace_back(std::move(socket));
+      connection.socket.async_read_some(
+          boost::asio::buffer(connection.buf),
+          [&connection](boost::system::error_code ec, std::size_t) {
+            if (ec) return;
+            WriteText(connection.socket,
+                      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+          });
+      Accept();
+    });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::list<Connection> connections_;
+};
+
+struct SilentServerFixture {
+  boost::asio::io_context context;
+  common::ManualClock clock;
+  OneAnswerServer server{context};
+  HttpClient client{
+      context, clock, {.max_idle = std::chrono::milliseconds(1'000)}};
+
+  // Starts a call and returns where its result appears.
+  std::shared_ptr<std::optional<CallEnd>> Start() {
+    auto end = std::make_shared<std::optional<CallEnd>>();
+    client.Fetch(server.Address(), {.method = "GET", .target = "/"},
+                 std::chrono::milliseconds(200),
+                 [end](CallEnd it, const HttpResponse&) { *end = it; });
+    return end;
+  }
+  CallEnd Fetch() {
+    const auto end = Start();
+    while (!end->has_value()) {
+      context.restart();
+      context.run_one_for(std::chrono::seconds(2));
+    }
+    return **end;
+  }
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(HttpClientTest)
 
+// Guards against calls on a kept connection that has gone silent, which end by
+// their timeout although the server answers on new connections.
+BOOST_FIXTURE_TEST_CASE(ConnectionIdleForLongIsNotReused, SilentServerFixture) {
+  BOOST_CHECK(Fetch() == CallEnd::kComplete);
+  clock.Advance(std::chrono::milliseconds(1'100));
+  BOOST_CHECK(Fetch() == CallEnd::kComplete);
+  BOOST_CHECK_EQUAL(server.Connections(), 2);
+}
+
+// Guards against call after call that times out on one kept connection after
+// the other, all of which have gone silent at the same time.
+BOOST_FIXTURE_TEST_CASE(TimeoutClosesTheOtherIdleConnections,
+                        SilentServerFixture) {
+  const auto first = Start();
+  BOOST_CHECK(Fetch() == CallEnd::kComplete);
+  BOOST_CHECK(*first == CallEnd::kComplete);
+  BOOST_CHECK(Fetch() == CallEnd::kTimedOut);
+  BOOST_CHECK(Fetch() == CallEnd::kComplete);
+}
+
 // Guards against reporting that a request did not run although it may have run:
 // only kNotSent proves that the server did not receive it.
 BOOST_AUTO_TEST_CASE(FailuresAreDistinguished) {
