Bound the time that an unanswered poll of the store or of a relay takes

Cause: a poll on a silent connection is noticed by its time-out only. A poll of the store took 3.9 s, one of a relay 1.5 s and then 3.9 s on the next kept connection, whatever the time was within which a configuration must be in force.

Change: all times on the way of a change follow from the limits of the deployment (ChangeTiming): with 2 s, a relay polls with a delay of 0.6 s and a wait of 0.7 s (0.7 s and 3.2 s before), followers wait 0.7 s and 0.4 s for the relay's answer (1.0 s and 0.5 s), polls of the store without a relay wait 1.0 s. The control client keeps idle connections for 1 s.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "Common/HandlerGuard.h"
 #include "Common/Logging.h"
 #include "Gateway/GatewayResponses.h"
+#include "PlatformClients/ChangeTiming.h"
 
 namespace shallotbeam::gateway {
 
@@ -19,11 +20,6 @@
 // A long poll may miss changes for up to this long while the store compacts its
 // history.
 constexpr common::Duration kMaxMissedChangeDelay = milliseconds(1'100);
-// Part of the limits for applying a change that is reserved for a poll of a
-// slow store and for a host without processor time.
-constexpr milliseconds kChangeMargin = std::chrono::seconds(1);
-// The same for a relay, which serves many gateways with each poll.
-constexpr milliseconds kMaxRelayDelay{1'000};
 // Interval between checks of connection timeouts.
 constexpr common::Duration kConnectionCheckInterval = milliseconds(250);
 constexpr common::Duration kLoadLogInterval = std::chrono::seconds(1);
@@ -41,16 +37,16 @@
 // Margin by which the process exits before it would be killed.
 constexpr common::Duration kStopMargin = milliseconds(400);
 
-// Longest delay between two polls of the store while changes keep coming.
-milliseconds MaxChangeDelay(const GatewaySettings& settings,
-                            milliseconds change_delay) {
-  const milliseconds limit =
-      std::min(settings.config_limit, settings.drain_limit) - kChangeMargin;
-  // The others may poll a relay only after their own delay.
-  const milliseconds delay =
-      IsRelay(settings) ? std::min(limit - change_delay, kMaxRelayDelay)
-                        : limit;
-  return std::max(delay, change_delay);
+platform_clients::StoreSessionOptions SessionOptions(
+    const GatewaySettings& settings) {
+  const platform_clients::ChangeTiming timing =
+      platform_clients::TimingFor(ChangeLimit(settings));
+  platform_clients::StoreSessionOptions options;
+  const bool relay = IsRelay(settings);
+  options.poll_wait = relay ? timing.relay_poll_wait : timing.poll_wait;
+  options.max_change_delay =
+      relay ? timing.relay_max_change_delay : timing.max_change_delay;
+  return options;
 }
 
 }  // namespace
@@ -77,8 +73,7 @@
           [this](const SearchOutcome& it) { OnSearchOutcome(it); }),
       random_(std::random_device()()) {
   if (IsRelay(settings_)) change_relay_.emplace(environment_.clock, store_);
-  store_.options.max_change_delay =
-      MaxChangeDelay(settings_, store_.options.change_delay);
+  store_.options = SessionOptions(settings_);
 }
 
 absl::Status Gateway::Listen() {
--- a/Source/Core/Gateway/GatewayProcess.cpp
+++ b/Source/Core/Gateway/GatewayProcess.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "Common/Logging.h"
-#include "PlatformClients/RelayedStore.h"
+#include "PlatformClients/ChangeTiming.h"
 #include "Runtime/MetricsPage.h"
 #include "Runtime/ProcessEvents.h"
 #include "Runtime/ProcessHost.h"
@@ -40,16 +40,6 @@
       handler);
 }
 
-// Where this gateway polls for changes of the store. Empty if it is a relay.
-std::vector<common::Endpoint> RelayEndpoints(const GatewaySettings& settings) {
-  std::vector<common::Endpoint> endpoints;
-  if (IsRelay(settings)) return endpoints;
-  for (const common::Endpoint& it : settings.relays) {
-    endpoints.push_back({.address = it.address, .port = settings.control.port});
-  }
-  return endpoints;
-}
-
 // Serves the polls of other gateways if this one is a relay. Null otherwise.
 absl::StatusOr<std::shared_ptr<transport::HttpServer>> ListenForPolls(
     net::io_context& context, const GatewaySettings& settings,
@@ -64,15 +54,37 @@
 
 }  // namespace
 
+// A gateway that turns to the store because its relay is silent must not do so
+// on a connection that may be silent as well.
+transport::HttpClientOptions ControlClientOptions() {
+  return {.max_idle = std::chrono::seconds(1)};
+}
+
+platform_clients::RelayedStoreOptions StoreOptions(
+    const GatewaySettings& settings) {
+  const platform_clients::ChangeTiming timing =
+      platform_clients::TimingFor(ChangeLimit(settings));
+  platform_clients::RelayedStoreOptions options{
+      .name = settings.name,
+      .poll_wait = timing.relayed_poll_wait,
+      .response_timeout = timing.relay_response_timeout};
+  // A relay polls the store itself.
+  if (IsRelay(settings)) return options;
+  for (const common::Endpoint& it : settings.relays) {
+    options.relays.push_back(
+        {.address = it.address, .port = settings.control.port});
+  }
+  return options;
+}
+
 absl::Status RunGateway(const GatewaySettings& settings,
                         const Deployment& deployment) {
   net::io_context context(1);
   const common::BootClock clock;
-  transport::HttpClient client(context);
+  transport::HttpClient client(context, clock, ControlClientOptions());
   const auto store = deployment.make_store(client, settings.store);
-  platform_clients::RelayedStore relayed_store(
-      *store, client, clock,
-      {.name = settings.name, .relays = RelayEndpoints(settings)});
+  platform_clients::RelayedStore relayed_store(*store, client, clock,
+                                               StoreOptions(settings));
   transport::DatagramSender sender(context);
   Gateway gateway(
       settings, runtime::GenerateIncarnation(),
--- a/Source/Core/Gateway/GatewayProcess.h
+++ b/Source/Core/Gateway/GatewayProcess.h
@@ -8,6 +8,7 @@
 #include "Gateway/Gateway.h"
 #include "Gateway/GatewaySettings.h"
 #include "PlatformClients/ItemStore.h"
+#include "PlatformClients/RelayedStore.h"
 #include "Transport/HttpClient.h"
 #include "absl/status/status.h"
 
@@ -24,6 +25,11 @@
   std::string readiness_path = "/readyz";
 };
 
+// Options of the clients through which a gateway follows the store.
+transport::HttpClientOptions ControlClientOptions();
+platform_clients::RelayedStoreOptions StoreOptions(
+    const GatewaySettings& settings);
+
 // Runs a gateway until the process receives a stop signal and has drained.
 absl::Status RunGateway(const GatewaySettings& settings,
                         const Deployment& deployment);
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -21,6 +21,10 @@
                      });
 }
 
+std::chrono::milliseconds ChangeLimit(const GatewaySettings& settings) {
+  return std::min(settings.config_limit, settings.drain_limit);
+}
+
 settings::Settings GatewayKeys(GatewaySettings* target) {
   using settings::Address;
   using settings::Milliseconds;
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -44,6 +44,9 @@
 // Whether this gateway is one of the relays.
 bool IsRelay(const GatewaySettings& settings);
 
+// Time within which every change of the store must take effect.
+std::chrono::milliseconds ChangeLimit(const GatewaySettings& settings);
+
 // The typed keys, bound to `target`, which must outlive them.
 settings::Settings GatewayKeys(GatewaySettings* target);
 
--- a/Source/Core/PlatformClients/RelayedStore.cpp
+++ b/Source/Core/PlatformClients/RelayedStore.cpp
@@ -60,8 +60,7 @@
   if (relay == nullptr) {
     return store_.AwaitChanges(prefix, revision, wait, std::move(done));
   }
-  const RelayPoll poll{.revision = revision,
-                       .wait = std::min(wait, options_.poll_wait)};
+  const RelayPoll poll{.revision = revision, .wait = options_.poll_wait};
   client_.Fetch(relay->endpoint,
                 {.method = "GET", .target = EncodeRelayPoll(poll)},
                 poll.wait + options_.response_timeout,
--- a/Source/Core/PlatformClients/RelayedStore.h
+++ b/Source/Core/PlatformClients/RelayedStore.h
@@ -17,7 +17,8 @@
   common::ProcessName name;  // of this process
   // Processes that may pass changes on. Empty: always asks the store.
   std::vector<common::Endpoint> relays;
-  // Longest wait of a poll. Short, so that the loss of a relay is noticed soon.
+  // Wait of a poll of a relay, whatever the wait of a poll of the store would
+  // be. Short, so that the loss of a relay is noticed soon.
   std::chrono::milliseconds poll_wait{1'000};
   // Time for the response of a relay, beside the wait.
   std::chrono::milliseconds response_timeout{500};
--- a/Source/Core/PlatformClients/StoreSession.h
+++ b/Source/Core/PlatformClients/StoreSession.h
@@ -18,10 +18,12 @@
 namespace shallotbeam::platform_clients {
 
 struct StoreSessionOptions {
-  // Longest wait of a poll; the platform charges for each poll. The age of the
-  // copy stays below the sum of poll_wait, change_delay and min_poll_wait:
-  // a poll with changes confirms the copy only up to the time at which the poll
-  // was sent, so that the next poll waits for a shorter time.
+  // Longest wait of a poll; the platform charges for each poll. A poll whose
+  // response never comes is noticed after this time and the time-out of the
+  // call. The age of the copy stays below the sum of poll_wait, change_delay
+  // and min_poll_wait: a poll with changes confirms the copy only up to the
+  // time at which the poll was sent, so that the next poll waits for a shorter
+  // time.
   std::chrono::milliseconds poll_wait{3'200};
   std::chrono::milliseconds min_poll_wait{200};
   // Delay after a poll that returned changes, so that one poll collects changes
