Refuse polls of followers while a relay's copy may be outdated

What callers of an undisturbed gateway may see: a version that has been acknowledged is not in force, because its relay was cut off from the store.

Cause: a relay answered with the age of its copy as long as its own last poll had succeeded.

Change: a relay whose copy is older than its delay and 0.4 s refuses polls, and its followers ask the store. This bounds the way by a state that the relay knows and not by a time-out.

ChangeRelayTest/FollowersAskTheStoreWhenTheRelaysCopyIsOld fails before: the poll of the follower gets no answer when the copy becomes too old.

--- a/Source/Core/Gateway/ChangeRelay.cpp
+++ b/Source/Core/Gateway/ChangeRelay.cpp
@@ -45,10 +45,17 @@
   std::erase_if(waiting_, [this](const Waiting& it) { return TryRespond(it); });
 }
 
+// A store that is silent shows only by the age of the copy until the poll of it
+// has timed out.
+bool ChangeRelay::IsCurrent() const {
+  const auto age = platform_clients::AgeOf(session_, clock_.Now());
+  return session_.synced && session_.reachable && age && *age <= max_age_;
+}
+
 bool ChangeRelay::TryRespond(const Waiting& waiting) {
   transport::HttpExchange& exchange = *waiting.exchange;
   const auto age = platform_clients::AgeOf(session_, clock_.Now());
-  if (!IsCurrent() || !age) {
+  if (!IsCurrent()) {
     RespondWith(exchange, kUnavailable);
     return true;
   }
--- a/Source/Core/Gateway/ChangeRelay.h
+++ b/Source/Core/Gateway/ChangeRelay.h
@@ -14,13 +14,15 @@
 
 // Passes the changes of the store on to other gateways, which poll this one
 // instead of the store. Polls wait until there is a change, their wait ends, or
-// this gateway loses the store; the last makes the others ask the store
-// themselves, so that they notice its outage. Used by one thread.
+// this gateway loses the store or can't tell whether its copy is current; the
+// last two make the others ask the store themselves. Used by one thread.
 class ChangeRelay {
  public:
+  // Refuses polls while the copy is older than `max_age`.
   ChangeRelay(const common::Clock& clock,
-              const platform_clients::StoreSession& session)
-      : clock_(clock), session_(session) {}
+              const platform_clients::StoreSession& session,
+              common::Duration max_age)
+      : clock_(clock), session_(session), max_age_(max_age) {}
 
   void OnPoll(const std::shared_ptr<transport::HttpExchange>& exchange);
   // Records a change that others need. OnUpdate() sends it.
@@ -39,13 +41,14 @@
     common::TimePoint arrived;
   };
 
-  bool IsCurrent() const { return session_.synced && session_.reachable; }
+  bool IsCurrent() const;
   // Responds if the poll need not wait any longer. Returns whether it did.
   bool TryRespond(const Waiting& waiting);
   void RespondToAll();
 
   const common::Clock& clock_;
   const platform_clients::StoreSession& session_;
+  const common::Duration max_age_;
   platform_clients::ChangeLog log_;
   std::vector<Waiting> waiting_;
 };
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -72,7 +72,11 @@
           environment_.clock, environment_.send,
           [this](const SearchOutcome& it) { OnSearchOutcome(it); }),
       random_(std::random_device()()) {
-  if (IsRelay(settings_)) change_relay_.emplace(environment_.clock, store_);
+  if (IsRelay(settings_)) {
+    change_relay_.emplace(
+        environment_.clock, store_,
+        platform_clients::TimingFor(ChangeLimit(settings_)).relay_max_age);
+  }
   store_.options = SessionOptions(settings_);
 }
 
--- a/Source/Core/PlatformClients/ChangeTiming.cpp
+++ b/Source/Core/PlatformClients/ChangeTiming.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds kMaxRelayDelay{1'000};
 // Without changes a relay polls a little less often than with them.
 constexpr milliseconds kRelayWaitMargin{100};
+// The response of the store and its processing make the copy older than that.
+constexpr milliseconds kRelayAgeMargin{400};
 // A copy may be used for credentials only while it is young.
 constexpr milliseconds kMaxRelayedWait{2'000};
 constexpr milliseconds kMinWait{200};
@@ -34,6 +36,7 @@
           .max_change_delay = poll_wait,
           .relay_poll_wait = relay_delay + kRelayWaitMargin,
           .relay_max_change_delay = relay_delay,
+          .relay_max_age = relay_delay + kRelayAgeMargin,
           .relayed_poll_wait = std::clamp(
               limit - relay_delay - kRelayResponseTimeout - kFallbackMargin,
               kMinWait, kMaxRelayedWait),
--- a/Source/Core/PlatformClients/ChangeTiming.h
+++ b/Source/Core/PlatformClients/ChangeTiming.h
@@ -16,6 +16,8 @@
   // Polls of the store by a relay.
   std::chrono::milliseconds relay_poll_wait;
   std::chrono::milliseconds relay_max_change_delay;
+  // A relay whose copy is older than this refuses polls.
+  std::chrono::milliseconds relay_max_age;
 
   // Polls of a relay by another process.
   std::chrono::milliseconds relayed_poll_wait;
--- a/Source/UnitTests/Core/Gateway/ChangeRelayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ChangeRelayTest.cpp
@@ -33,7 +33,7 @@
   boost::asio::io_context context;
   common::ManualClock clock;
   clients::StoreSession session;
-  ChangeRelay relay{clock, session};
+  ChangeRelay relay{clock, session, /*max_age=*/2s};
   std::shared_ptr<transport::HttpServer> server =
       *transport::HttpServer::Listen(
           context, {.endpoint = {.address = "127.0.0.1", .port = 0}},
@@ -120,6 +120,24 @@
   BOOST_CHECK(!result->status.ok());
 }
 
+// Guards against followers that take an old copy for current because the poll
+// of the relay's own is never answered: the connection is silent, or the relay
+// is cut off from the store.
+BOOST_AUTO_TEST_CASE(FollowersAskTheStoreWhenTheRelaysCopyIsOld) {
+  clock.Advance(1'500ms);
+  StartPoll(10);
+  BOOST_CHECK(!result);
+  clock.Advance(600ms);
+  relay.OnTick();
+  Run();
+  BOOST_REQUIRE(result);
+  BOOST_CHECK(!result->status.ok());
+  clock.Advance(1h);
+  StartPoll(10);
+  BOOST_REQUIRE(result);
+  BOOST_CHECK(!result->status.ok());
+}
+
 // Guards against a relay that confirms a state older than the follower's.
 BOOST_AUTO_TEST_CASE(RelayThatIsBehindConfirmsNothing) {
   StartPoll(20);
--- a/Source/UnitTests/Core/PlatformClients/ChangeTimingTest.cpp
+++ b/Source/UnitTests/Core/PlatformClients/ChangeTimingTest.cpp
@@ -24,9 +24,12 @@
     RC_ASSERT(timing.relay_max_change_delay + timing.relayed_poll_wait +
                   timing.relay_response_timeout + kCall <
               limit);
-    // A relay's copy, passed on at the end of a poll, is never older.
+    // A relay whose copy is too old refuses, and the store is asked instead.
+    RC_ASSERT(timing.relay_max_age + kCall < limit);
+    // A copy that was passed on ages for one more wait.
     RC_ASSERT(timing.relay_poll_wait + timing.relayed_poll_wait + kCall <
               limit);
+    RC_ASSERT(timing.relay_poll_wait + kCall < timing.relay_max_age);
     // The delay and the wait of a poll of the store add up to `poll_wait`.
     constexpr milliseconds kStoreTimeout{700};
     RC_ASSERT(timing.poll_wait + kStoreTimeout + kCall < limit);
--- a/Source/UnitTests/Platform/ChangePropagationTest.cpp
+++ b/Source/UnitTests/Platform/ChangePropagationTest.cpp
@@ -190,6 +190,23 @@
   experiment.CheckRelays(limits.recovery);
 }
 
+// Guards against a configuration that comes into force late at gateways in
+// touch with the store because their relay is cut off from it.
+BOOST_AUTO_TEST_CASE(RelayCutOffFromTheStoreDelaysNoChange) {
+  const Limits limits{.change = 3s, .recovery = 4s};
+  const Experiment experiment(
+      limits, [](Fleet& it) { it.relay_to_store.SilenceAll(); });
+  experiment.CheckFollowers(limits.change);
+}
+
+// The same for a relay that is frozen or without power.
+BOOST_AUTO_TEST_CASE(SilentRelayDelaysNoChange) {
+  const Limits limits{.change = 3s, .recovery = 4s};
+  const Experiment experiment(
+      limits, [](Fleet& it) { it.follower_to_relay.SilenceAll(); });
+  experiment.CheckFollowers(limits.change);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::platform_adapter
