Don't refuse for good by a copy older than the configuration limit

Cause: unknown routes and credentials were answered 404 and 401 as long as the copy of the store was younger than the revocation limit less 1.1 s, 3.9 s. A configuration must be in force after 2 s: between the two a refusal may come from an older version.

Change: a copy that was confirmed within the configuration limit has every version that callers may rely on, and refuses as before. With an older one the answer is 503 with Retry-After, reason copy_outdated. Known names are served as before. The age is the time of the last confirmation and not of the last change, so that calm gateways with a calm store never come near the limit.

GatewayTest/UnknownNamesAreNotRefusedForGoodByAnOutdatedCopy fails before: 404 and 401 at an age of 2.1 s, no Retry-After at 4.9 s.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -353,11 +353,13 @@
   const common::Duration limit =
       settings_.revocation_limit - kMaxMissedChangeDelay;
   const bool stale = !age || *age > limit;
+  // A route or credential that was added within this time may be missing here,
+  // which must not end in an answer that forbids a retry.
+  const bool may_lack_changes = stale || *age > settings_.config_limit;
   call.route = table_->Find(call.request.host, call.request.target);
   if (call.route == nullptr) {
-    // A route that was just added may not be known here yet.
-    if (stale) return Respond(call, kUnavailable, "store_unreachable");
-    return Respond(call, kNotFound, "no_route");
+    if (!may_lack_changes) return Respond(call, kNotFound, "no_route");
+    return Respond(call, kUnavailable, "copy_outdated", kDefaultRetryAfter);
   }
   const bool has_workspaces = !table_->Source().workspaces.empty();
   if (has_workspaces && call.route->requires_credential) {
@@ -369,7 +371,10 @@
     }
     call.workspace = table_->FindWorkspace(call.metadata.credential);
     if (call.workspace == nullptr) {
-      return Respond(call, kUnauthorized, "bad_credential");
+      if (!may_lack_changes) {
+        return Respond(call, kUnauthorized, "bad_credential");
+      }
+      return Respond(call, kUnavailable, "copy_outdated", kDefaultRetryAfter);
     }
   }
   call.deadline =
--- a/Source/UnitTests/Core/Gateway/GatewayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayTest.cpp
@@ -116,6 +116,42 @@
   fleet.RunUntil([&] { return Contains(caller.Received(), "HTTP/1.1 503"); });
 }
 
+// Guards against a final answer for a route or credential that was added within
+// the time in which the gateway could not confirm its copy of the store.
+BOOST_AUTO_TEST_CASE(UnknownNamesAreNotRefusedForGoodByAnOutdatedCopy) {
+  GatewayFixture fleet(/*with_workspaces=*/true);
+  FakeUpstream upstream(fleet.context, RespondDone);
+  fleet.AddUpstream("u1", upstream.Endpoint());
+  const auto send = [&](const std::string& path, const std::string& key) {
+    Caller caller(fleet.context, fleet.gateway->CallersPort());
+    caller.Send(GatewayFixture::Request(path, "Credential: " + key + "\r\n"));
+    fleet.RunUntil([&] { return Contains(caller.Received(), "\r\n\r\n"); });
+    return caller.Received();
+  };
+  BOOST_CHECK(Contains(send("/new/1", "secret"), "HTTP/1.1 404"));
+  BOOST_CHECK(Contains(send("/order/1", "new"), "HTTP/1.1 401"));
+  for (const auto step : {2'100ms, 2'800ms}) {
+    fleet.Advance(step);
+    for (const auto& [path, key] :
+         {std::pair("/new/1", "secret"), std::pair("/order/1", "new")}) {
+      const std::string response = send(path, key);
+      BOOST_CHECK(Contains(response, "HTTP/1.1 503"));
+      BOOST_CHECK(Contains(response, "Retry-After: "));
+    }
+  }
+}
+
+// The same before the copy is too old for known names.
+BOOST_AUTO_TEST_CASE(KnownNamesAreServedByAnOutdatedCopy) {
+  GatewayFixture fleet(/*with_workspaces=*/true);
+  FakeUpstream upstream(fleet.context, RespondDone);
+  fleet.AddUpstream("u1", upstream.Endpoint());
+  fleet.Advance(2'100ms);
+  Caller caller(fleet.context, fleet.gateway->CallersPort());
+  caller.Send(GatewayFixture::Request("/order/1", "Credential: secret\r\n"));
+  fleet.RunUntil([&] { return Contains(caller.Received(), "done"); });
+}
+
 // Guards against streams that are accepted long after the stop signal and then
 // cut off: on the test deployment reunidas-rota, day mix with seed
 // 524868797754, 26 streams of up to 12 s were accepted 7 s after the signal and
