Don't apply changes of the store that are older than the copy

On a fleet whose list has several pages, an upstream that was draining could take work again for a moment.

Cause: polls start at the revision of the first page of a list, and the following pages may be newer. The changes in between are returned again and were applied in the order of arrival; only configurations were compared by version.

Change: a change whose revision is below that of the item in the copy is left out. StoreSessionTest/OlderChangesAreNotApplied fails before: three changes instead of one.

--- a/Source/Core/PlatformClients/StoreSession.cpp
+++ b/Source/Core/PlatformClients/StoreSession.cpp
@@ -141,15 +141,19 @@
       std::max(session.confirmed_at.value_or(confirmed), confirmed);
   session.revision = std::max(session.revision, result.as_of);
   for (const ItemChange& it : result.changes) {
+    const auto known = session.revisions.find(it.item.key);
+    const bool outdated =
+        known != session.revisions.end() && known->second > it.item.revision;
+    if (outdated) continue;
     if (it.removed) {
       session.revisions.erase(it.item.key);
     } else {
       session.revisions[it.item.key] = it.item.revision;
     }
+    update.changes.push_back(it);
   }
   session.change_delay = DelayAfter(session, now, result);
   session.next_call = now + session.change_delay;
-  update.changes = result.changes;
   return update;
 }
 
--- a/Source/UnitTests/Core/PlatformClients/StoreSessionTest.cpp
+++ b/Source/UnitTests/Core/PlatformClients/StoreSessionTest.cpp
@@ -68,6 +68,31 @@
   BOOST_CHECK_EQUAL(Poll().revision, 10);
 }
 
+// Guards against an older state of an item that replaces a newer one, such as
+// an upstream that takes work again while it is draining: polls start at the
+// revision of the first page and return changes that later pages include.
+BOOST_AUTO_TEST_CASE(OlderChangesAreNotApplied) {
+  Next();
+  OnListed(session, clock.Now(),
+           {.status = absl::OkStatus(),
+            .items = {Item("a", 3)},
+            .truncated = true,
+            .as_of = 10});
+  Next();
+  OnListed(session, clock.Now(),
+           {.status = absl::OkStatus(),
+            .items = {Item("b", 12), Item("c", 13)},
+            .as_of = 14});
+  Poll();
+  ChangesResult result = Put("b", 11);
+  result.changes.push_back(
+      {.item = {.key = "c", .revision = 12}, .removed = true});
+  result.changes.push_back({.item = Item("a", 13)});
+  const StoreUpdate update = OnChanges(session, clock.Now(), result);
+  BOOST_REQUIRE_EQUAL(update.changes.size(), 1);
+  BOOST_CHECK_EQUAL(update.changes[0].item.key, "a");
+}
+
 // Guards against underestimating the age of the copy: a poll with changes
 // confirms only that the copy was current when the poll was sent.
 BOOST_AUTO_TEST_CASE(AgeCountsFromLastConfirmation) {
