Keep requests that crash upstreams away from them

Cause: a gateway treated the crash like any broken connection: it repeated the request or answered 502, and remembered nothing. The caller's next attempt came to any gateway. Router and agent have suspects for this, the gateway had none.

Change: a gateway that loses a request without a response tries to connect to the upstream. A refused connection, or another incarnation in the store, shows a crash; the requests that waited there become suspects. Gateways tell three schedulers, these tell all gateways, and a scheduler tells a gateway that it hears for the first time what it knows. The second crash, by a request sent after the first, bans the request for 60 s: 422 at once, also for calls that wait or have been sent without a response. A response to the same request clears it at every gateway. Requests of simultaneous crashes, as by a loss of power, count once. Memory and messages are bounded.

Ruled out: rows in the store (a write per waiting request and gateway), a ban by one crash (all that waited beside the request would be refused).

--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Catalogue/RouteTable.h"
 #include "Common/Clock.h"
@@ -15,6 +16,7 @@
 #include "Forwarding/EventScanner.h"
 #include "Forwarding/UpstreamConnection.h"
 #include "Gateway/SchedulerClient.h"
+#include "Protocol/SchedulingMessages.h"
 
 namespace shallotbeam::gateway {
 
@@ -80,6 +82,8 @@
   const catalogue::Route* route = nullptr;
   const catalogue::Workspace* workspace = nullptr;
   common::PoolName pool;
+  // By which the request is recognised if it crashes upstreams.
+  std::vector<protocol::Trait> traits;
   // The earlier of the caller's deadline and the route's timeout.
   common::TimePoint deadline;
 
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -62,6 +62,8 @@
               (settings_.max_descriptors - kReservedDescriptors) / 2)),
       upstream_connections_(environment_.context, environment_.clock,
                             environment_.header_codec),
+      crash_detector_(environment_.context, environment_.clock,
+                      [this](const DetectedCrash& it) { OnCrash(it); }),
       scheduler_client_(
           {.name = settings_.name,
            .incarnation = incarnation,
@@ -70,7 +72,8 @@
                       .tolerated_wait = settings_.tolerated_wait,
                       .max_offers = settings_.max_offers}},
           environment_.clock, environment_.send,
-          [this](const SearchOutcome& it) { OnSearchOutcome(it); }),
+          [this](const SearchOutcome& it) { OnSearchOutcome(it); },
+          [this](const protocol::CrashReport& it) { OnCrashReport(it); }),
       random_(std::random_device()()) {
   if (IsRelay(settings_)) {
     change_relay_.emplace(
@@ -136,11 +139,13 @@
     scheduler_client_.RemoveEngine(name);
   }
   scheduler_client_.OnTick([this] { return StartsInProgress(); });
+  ExchangeCrashReports();
   if (change_relay_) change_relay_->OnTick();
   CheckDeadlines();
   if (now < next_check_) return;
   next_check_ = now + kConnectionCheckInterval;
   LogLoad(now);
+  suspects::Expire(crash_evidence_, now);
   caller_server_.CheckTimeouts(now);
   upstream_connections_.CloseExpired(now);
 }
@@ -295,6 +300,7 @@
       result == balancing::UpstreamChange::kRestarted) {
     upstream_connections_.CloseIdle(change.upstream);
     balancing::ForgetUpstream(ejections_, change.upstream);
+    crash_detector_.OnEnded(change.upstream);
   }
   if (change.entry) {
     for (const auto& other :
@@ -385,6 +391,8 @@
   call.pool = *pool;
   // Abort() reports the caller as disconnected.
   if (!call.caller->IsConnected()) return call.caller->Abort();
+  SetTraits(call);
+  if (RefuseIfBanned(call)) return;
   common::RecordDispatch(retry_budgets_[call.pool], kRetryOptions);
   if (!CanFinishBeforeStop(call)) {
     return Respond(call, kUnavailable, "stopping", kOtherHostRetryAfter);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -21,11 +21,13 @@
 #include "Forwarding/UpstreamConnectionPool.h"
 #include "Gateway/Call.h"
 #include "Gateway/ChangeRelay.h"
+#include "Gateway/CrashDetector.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/SchedulerClient.h"
 #include "Overload/LoadShedder.h"
 #include "PlatformClients/StoreSession.h"
+#include "Suspects/CrashEvidence.h"
 
 namespace shallotbeam::gateway {
 
@@ -117,6 +119,21 @@
   // upstream accepts requests, and removes it otherwise.
   void UpdateEngine(const common::UpstreamName& name);
 
+  // Sets by what the request is recognised if it crashes upstreams.
+  static void SetTraits(Call& call);
+  // Responds to a request that is known to crash upstreams. Returns whether it
+  // did.
+  bool RefuseIfBanned(Call& call);
+  // The same for all requests that have no response yet.
+  void RefuseBannedCalls();
+  // Records that the connection of the call's attempt broke.
+  void RecordBrokenAttempt(const Call& call);
+  void OnCrash(const DetectedCrash& crash);
+  // Records that an upstream has begun to answer the call.
+  void RecordResponse(const Call& call);
+  void OnCrashReport(const protocol::CrashReport& report);
+  void ExchangeCrashReports();
+
   void Route(Call& call);
   // Sends the call to an upstream, starts a placement search, or responds with
   // an error.
@@ -180,6 +197,9 @@
   std::shared_ptr<const catalogue::RouteTable> table_;
   balancing::UpstreamTable upstreams_;
   balancing::EjectionState ejections_;
+  CrashDetector crash_detector_;
+  suspects::CrashEvidence crash_evidence_;
+  suspects::CrashRowQueue crash_rows_;  // of this gateway's own requests
   // Requests of this gateway in flight, by upstream.
   std::unordered_map<common::UpstreamName, int> in_flight_;
   SchedulerClient scheduler_client_;
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -283,6 +283,12 @@
     scheduler_client_.ReportProgress(grant, protocol::StartStage::kWithdrawn);
     return Dispatch(call);
   }
+  // The crash may have become known while the call was waiting.
+  if (suspects::FindBannedTrait(crash_evidence_, Now(), call.traits)) {
+    scheduler_client_.ReportProgress(grant, protocol::StartStage::kWithdrawn);
+    RefuseIfBanned(call);
+    return;
+  }
   call.cached_tokens = grant.cached_tokens;
   call.grant = std::move(grant);
   call.cache_source.clear();
@@ -326,6 +332,7 @@
   call.last_event = now;
   if (!first) return;
   call.first_event = now;
+  RecordResponse(call);
   scheduler_client_.ReportProgress(call.grant,
                                    protocol::StartStage::kFirstEvent);
 }
@@ -336,6 +343,8 @@
   scheduler_client_.ReportProgress(std::exchange(call.grant, {}),
                                    protocol::StartStage::kDone);
   RecordOutcome(call, end);
+  if (end == AttemptEnd::kBroken) RecordBrokenAttempt(call);
+  if (end == AttemptEnd::kAnswered) RecordResponse(call);
   if (end != AttemptEnd::kAnswered) {
     metrics_.CountFailedAttempt(ToString(end));
     Log(Subsystem::kRouting, LogLevel::kInfo,
@@ -351,6 +360,7 @@
         "event=upstream_replaced upstream={} id={}", call.upstream.value,
         call.metadata.request_id);
     balancing::MarkReplaced(upstreams_, call.upstream);
+    crash_detector_.OnEnded(call.upstream);
     upstream_connections_.CloseIdle(call.upstream);
     scheduler_client_.RemoveEngine(call.upstream);
   }
--- a/Source/Core/Gateway/SchedulerClient.cpp
+++ b/Source/Core/Gateway/SchedulerClient.cpp
@@ -1,8 +1,10 @@
 #include "Gateway/SchedulerClient.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
+#include "Common/Hash.h"
 #include "Common/Logging.h"
 #include "Common/StatusText.h"
 #include "Wire/Codec.h"
@@ -20,15 +22,20 @@
 constexpr common::Duration kShareUpdateInterval =
     std::chrono::milliseconds(200);
 
+// Schedulers that receive each crash report.
+constexpr std::size_t kCrashReportCopies = 3;
+
 }  // namespace
 
 SchedulerClient::SchedulerClient(SchedulerClientOptions options,
                                  const common::Clock& clock, Send send,
-                                 OutcomeHandler on_outcome)
+                                 OutcomeHandler on_outcome,
+                                 CrashReportHandler on_crash_report)
     : options_(std::move(options)),
       clock_(clock),
       send_(std::move(send)),
       on_outcome_(std::move(on_outcome)),
+      on_crash_report_(std::move(on_crash_report)),
       placement_state_{.options = options_.search} {}
 
 void SchedulerClient::PutEngine(const common::UpstreamName& upstream,
@@ -97,6 +104,9 @@
   } else if (const auto* reply =
                  std::get_if<protocol::StartReply>(&envelope->body)) {
     Handle(*reply);
+  } else if (const auto* crashes =
+                 std::get_if<protocol::CrashReport>(&envelope->body)) {
+    on_crash_report_(*crashes);
   } else {
     Log(Subsystem::kTransport, LogLevel::kWarning,
         "event=message_misdirected sender={}", envelope->sender.value);
@@ -165,6 +175,21 @@
   unoffered_tokens_[workspace] += common::ServiceTokens(prompt);
 }
 
+void SchedulerClient::SendCrashReport(const protocol::CrashReport& report) {
+  // Rendezvous hashing spreads the gateways over the schedulers. Those that are
+  // not responsive come last.
+  std::vector<const common::UpstreamName*> names;
+  for (const auto& [upstream, it] : engines_) names.push_back(&upstream);
+  const auto rank = [this](const common::UpstreamName& it) {
+    return std::pair(!IsResponsive(it),
+                     common::Hash64(options_.name.value + it.value));
+  };
+  std::sort(names.begin(), names.end(),
+            [&](const auto* a, const auto* b) { return rank(*a) < rank(*b); });
+  if (names.size() > kCrashReportCopies) names.resize(kCrashReportCopies);
+  for (const auto* it : names) SendTo(*it, report);
+}
+
 void SchedulerClient::SendReports(const InProgress& in_progress) {
   for (const auto& [upstream, it] : engines_) {
     const auto numbers = in_progress.find(upstream);
--- a/Source/Core/Gateway/SchedulerClient.h
+++ b/Source/Core/Gateway/SchedulerClient.h
@@ -46,9 +46,11 @@
  public:
   using Send = std::function<void(const common::Endpoint&, std::string_view)>;
   using OutcomeHandler = std::function<void(const SearchOutcome&)>;
+  using CrashReportHandler = std::function<void(const protocol::CrashReport&)>;
 
   SchedulerClient(SchedulerClientOptions options, const common::Clock& clock,
-                  Send send, OutcomeHandler on_outcome);
+                  Send send, OutcomeHandler on_outcome,
+                  CrashReportHandler on_crash_report);
 
   // Adds or removes an engine. `address` is the address of the engine; its
   // scheduler runs on the same host.
@@ -82,6 +84,8 @@
                        const common::Prompt& prompt);
   void Cancel(balancing::SearchId id);
   void ReportProgress(const StartGrant& grant, protocol::StartStage stage);
+  // Sends the report to a few schedulers, which pass it on to all gateways.
+  void SendCrashReport(const protocol::CrashReport& report);
   // Offer numbers of the requests in progress, by upstream.
   using InProgress =
       std::unordered_map<common::UpstreamName, std::vector<std::uint64_t>>;
@@ -114,6 +118,7 @@
   const common::Clock& clock_;
   Send send_;
   OutcomeHandler on_outcome_;
+  CrashReportHandler on_crash_report_;
   balancing::PlacementState placement_state_;
   balancing::ServiceAccounting accounting_;
   std::unordered_map<common::UpstreamName, Engine> engines_;
--- a/Source/Core/Protocol/SchedulingMessages.h
+++ b/Source/Core/Protocol/SchedulingMessages.h
@@ -114,9 +114,46 @@
   common::UpstreamName upstream;
 };
 
+// Identifies the crash of one incarnation of an upstream.
+enum class CrashId : std::uint64_t {};
+
+enum class TraitKind : std::uint8_t {
+  kRequest,  // caller, path and body
+};
+
+// What requests have in common that may crash each upstream which runs them.
+struct Trait {
+  common::Fingerprint fingerprint = common::Fingerprint::kNone;
+  TraitKind kind = TraitKind::kRequest;
+
+  friend bool operator==(const Trait&, const Trait&) = default;
+};
+
+// A crash of an upstream at which a request with the trait had no response.
+struct CrashSighting {
+  CrashId crash{};
+  std::chrono::microseconds age{0};       // of the crash
+  std::chrono::microseconds sent_age{0};  // of the sending of the request
+};
+
+// What a process knows of the crashes of one trait since it was cleared.
+struct CrashRow {
+  Trait trait;
+  std::vector<CrashSighting> crashes;
+  // Whether a request with the trait has been answered, and how long ago.
+  bool cleared = false;
+  std::chrono::microseconds cleared_age{0};
+};
+
+// Sent by a gateway to a few schedulers when it has seen a crash, or an answer
+// to a suspect; and by a scheduler to all gateways when that was new to it.
+struct CrashReport {
+  std::vector<CrashRow> rows;
+};
+
 using SchedulingBody =
     std::variant<GatewayReport, SchedulerReport, StartOffer, StartReply,
-                 StartProgress, StartedElsewhere>;
+                 StartProgress, StartedElsewhere, CrashReport>;
 
 struct SchedulingEnvelope {
   common::ProcessName sender;
--- a/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
@@ -54,6 +54,7 @@
     Log(Subsystem::kMembership, LogLevel::kInfo,
         "event=gateway_heard gateway={} control={}", from.sender.value,
         common::ToString(gateway_report.control));
+    SendKnownCrashes(gateway_report.control);
   }
   gateways_[from.incarnation] = {.control = gateway_report.control,
                                  .last_heard = now};
@@ -145,6 +146,33 @@
                                  start.prefix_key, start.upstream);
 }
 
+void SchedulerDriver::HandleMessage(
+    const protocol::SchedulingEnvelope& /*from*/,
+    const protocol::CrashReport& report) {
+  const common::TimePoint now = environment_.clock.Now();
+  suspects::Enqueue(crash_rows_, now,
+                    suspects::Merge(crash_evidence_, now, report.rows));
+  SendCrashReports();
+}
+
+void SchedulerDriver::SendKnownCrashes(const common::Endpoint& gateway) {
+  const common::TimePoint now = environment_.clock.Now();
+  suspects::CrashRowQueue queue{.sends = 1};
+  suspects::Enqueue(queue, now, suspects::Suspects(crash_evidence_));
+  while (!queue.sends_left.empty()) {
+    Send(gateway, protocol::CrashReport{.rows = suspects::TakeDueRows(
+                                            queue, crash_evidence_, now)});
+  }
+}
+
+void SchedulerDriver::SendCrashReports() {
+  const protocol::CrashReport report{
+      .rows = suspects::TakeDueRows(crash_rows_, crash_evidence_,
+                                    environment_.clock.Now())};
+  if (report.rows.empty()) return;
+  for (const auto& [incarnation, it] : gateways_) Send(it.control, report);
+}
+
 void SchedulerDriver::HandleMessage(
     const protocol::SchedulingEnvelope& from,
     const protocol::SchedulerReport& /*load_report*/) {
@@ -186,6 +214,7 @@
   scheduling::Replies replies;
   scheduling::OnTick(scheduler_, now, &replies);
   SendReplies(replies);
+  SendCrashReports();
   if (now < next_report_check_) return;
   next_report_check_ = now + kReportCheckInterval;
   const common::Duration silence = scheduler_.options.gateway_timeout;
@@ -197,6 +226,7 @@
   SendReports();
   if (now < next_metrics_update_) return;
   next_metrics_update_ = now + kMetricsInterval;
+  suspects::Expire(crash_evidence_, now);
   LogLoad();
   metrics_.Update(scheduler_, now, gateways_.size());
 }
--- a/Source/Core/SchedulerRuntime/SchedulerDriver.h
+++ b/Source/Core/SchedulerRuntime/SchedulerDriver.h
@@ -13,6 +13,7 @@
 #include "SchedulerRuntime/SchedulerSettings.h"
 #include "Scheduling/CounterReports.h"
 #include "Scheduling/EngineScheduler.h"
+#include "Suspects/CrashEvidence.h"
 
 namespace shallotbeam::scheduler_runtime {
 
@@ -55,12 +56,19 @@
                      const protocol::StartProgress& progress);
   void HandleMessage(const protocol::SchedulingEnvelope& from,
                      const protocol::StartedElsewhere& start);
+  void HandleMessage(const protocol::SchedulingEnvelope& from,
+                     const protocol::CrashReport& report);
   // The next two messages are never sent to a scheduler; logs a warning.
   void HandleMessage(const protocol::SchedulingEnvelope& from,
                      const protocol::SchedulerReport& load_report);
   void HandleMessage(const protocol::SchedulingEnvelope& from,
                      const protocol::StartReply& reply);
 
+  // Passes rows that were new to this scheduler on to all gateways.
+  void SendCrashReports();
+  // Sends everything to a gateway that may have started without knowing of
+  // earlier crashes.
+  void SendKnownCrashes(const common::Endpoint& gateway);
   void SendReplies(const scheduling::Replies& replies);
   void LogReply(const scheduling::OfferReply& reply) const;
   // Logs the prompts that were in prefill while a stream stalled.
@@ -77,6 +85,8 @@
   SchedulerMetrics metrics_;
   std::map<common::Incarnation, Gateway> gateways_;
   scheduling::CounterReports counter_reports_;
+  suspects::CrashEvidence crash_evidence_;
+  suspects::CrashRowQueue crash_rows_{.sends = 2};
   common::UpstreamName upstream_;
   std::uint64_t upstream_started_ = 0;
   // When a gateway last reported the current engine.
--- a/Source/Core/Wire/Fields.h
+++ b/Source/Core/Wire/Fields.h
@@ -103,6 +103,18 @@
 auto Fields(MaybeConst<protocol::StartProgress> auto& it) {
   return std::tie(it.number, it.stage);
 }
+auto Fields(MaybeConst<protocol::Trait> auto& it) {
+  return std::tie(it.fingerprint, it.kind);
+}
+auto Fields(MaybeConst<protocol::CrashSighting> auto& it) {
+  return std::tie(it.crash, it.age, it.sent_age);
+}
+auto Fields(MaybeConst<protocol::CrashRow> auto& it) {
+  return std::tie(it.trait, it.crashes, it.cleared, it.cleared_age);
+}
+auto Fields(MaybeConst<protocol::CrashReport> auto& it) {
+  return std::tie(it.rows);
+}
 
 }  // namespace shallotbeam::wire
 
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -54,6 +54,8 @@
   // Complete requests received, in order of arrival.
   const std::vector<std::string>& Requests() const { return *requests_; }
   int OpenConnections() const { return *open_; }
+  // Refuses new connections, as after a crash.
+  void StopListening() { acceptor_.close(); }
 
  private:
   void Accept();
--- a/Source/UnitTests/Core/SchedulerRuntime/SchedulerDriverTest.cpp
+++ b/Source/UnitTests/Core/SchedulerRuntime/SchedulerDriverTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <vector>
@@ -107,6 +108,33 @@
   BOOST_CHECK_EQUAL(OfferSharedPrompt(), 400);
 }
 
+// Guards against gateways that don't learn of a crash: the scheduler passes it
+// on to all that it knows, once more in case a message is lost, and to those
+// that start later.
+BOOST_AUTO_TEST_CASE(CrashesArePassedOnToAllGateways) {
+  const protocol::CrashRow row{
+      .trait = {.fingerprint = static_cast<common::Fingerprint>(7)},
+      .crashes = {{.crash = static_cast<protocol::CrashId>(1), .age = 40ms}}};
+  const auto reports = [&] {
+    return std::count_if(sent.begin(), sent.end(), [](const auto& it) {
+      return std::holds_alternative<protocol::CrashReport>(it.body);
+    });
+  };
+  SendGatewayReport(kCurrentEngine, 20);
+  BOOST_CHECK_EQUAL(reports(), 0);
+  for (int i = 0; i < 3; ++i) Receive(protocol::CrashReport{.rows = {row}});
+  for (int i = 0; i < 40; ++i) {
+    clock.Advance(20ms);
+    driver.OnTick();
+  }
+  BOOST_CHECK_EQUAL(reports(), 2);
+  driver.OnControlMessage(wire::Encode(protocol::SchedulingEnvelope{
+      .sender = common::ProcessName("later"),
+      .incarnation = static_cast<common::Incarnation>(2),
+      .body = protocol::GatewayReport{}}));
+  BOOST_CHECK_EQUAL(reports(), 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::scheduler_runtime
--- a/Source/UnitTests/Core/Wire/SchedulingCodecTest.cpp
+++ b/Source/UnitTests/Core/Wire/SchedulingCodecTest.cpp
@@ -46,6 +46,26 @@
   BOOST_CHECK_EQUAL(offer.recent_service, 1.5);
 }
 
+BOOST_AUTO_TEST_CASE(CrashReportSurvivesARoundTrip) {
+  const protocol::CrashReport report{
+      .rows = {{.trait = {.fingerprint = static_cast<common::Fingerprint>(7)},
+                .crashes = {{.crash = static_cast<protocol::CrashId>(9),
+                             .age = 3s,
+                             .sent_age = 4s}},
+                .cleared = true,
+                .cleared_age = 5s}}};
+  const auto decoded =
+      DecodeScheduling(Encode(protocol::SchedulingEnvelope{.body = report}));
+  BOOST_REQUIRE(decoded.ok());
+  const auto& copy = std::get<protocol::CrashReport>(decoded->body);
+  BOOST_REQUIRE_EQUAL(copy.rows.size(), 1);
+  BOOST_CHECK(copy.rows[0].trait == report.rows[0].trait);
+  BOOST_REQUIRE_EQUAL(copy.rows[0].crashes.size(), 1);
+  BOOST_CHECK(copy.rows[0].crashes[0].crash == report.rows[0].crashes[0].crash);
+  BOOST_CHECK(copy.rows[0].crashes[0].sent_age == 4s);
+  BOOST_CHECK(copy.rows[0].cleared_age == 5s);
+}
+
 // Guards against a crash on malformed bytes, which anyone can send to the
 // control socket.
 BOOST_AUTO_TEST_CASE(CorruptedBytesDoNotCrash) {
