Keep prompts with a part that crashes engines away from them

Cause: as for requests that come again, but the request itself is another one each time, so that its own crash evidence never reaches two crashes.

Change: the shared parts of a prompt, all but the last, are traits like the request itself. Three crashes ban a part that nobody has seen answered. Six ban any other: the prompts that crash engines share their caller and their other parts with sound ones, and a part that is banned is never answered again, so that nothing would clear it. Gateways remember for ten minutes which parts were answered through them and tell the others when such a part becomes suspect.

Failed try: three crashes for every part.

CrashEvidenceTest has a case for each: only the part is banned that crashes, and not the one that was answered before by another process. Without the traits of parts CrashingRequestsTest/RequestsWithAPartThatCrashesUpstreamsAreRefused fails, 6 requests sent instead of 4.

--- a/Source/Core/Gateway/GatewayCrashes.cpp
+++ b/Source/Core/Gateway/GatewayCrashes.cpp
@@ -1,3 +1,4 @@
+#include <string>
 #include <utility>
 
 #include "Common/Hash.h"
@@ -26,9 +27,26 @@
           .kind = protocol::TraitKind::kRequest};
 }
 
+// Traits of the parts that other requests share: all but the last.
+void AppendPromptTraits(const common::Prompt& prompt,
+                        std::vector<protocol::Trait>* traits) {
+  const std::uint64_t model = common::Hash64(prompt.model);
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    const std::uint64_t hash =
+        common::Hash64(std::to_string(prompt.parts[i].id), model);
+    traits->push_back({.fingerprint = static_cast<common::Fingerprint>(hash),
+                       .kind = protocol::TraitKind::kPromptPart});
+  }
+}
+
 }  // namespace
 
-void Gateway::SetTraits(Call& call) { call.traits = {RequestTrait(call)}; }
+void Gateway::SetTraits(Call& call) {
+  call.traits = {RequestTrait(call)};
+  if (call.metadata.prompt) {
+    AppendPromptTraits(*call.metadata.prompt, &call.traits);
+  }
+}
 
 bool Gateway::RefuseIfBanned(Call& call) {
   const auto trait =
@@ -71,7 +89,10 @@
 }
 
 void Gateway::OnCrashReport(const protocol::CrashReport& report) {
-  if (suspects::Merge(crash_evidence_, Now(), report.rows).empty()) return;
+  const auto result = suspects::Merge(crash_evidence_, Now(), report.rows);
+  if (result.changed.empty()) return;
+  // The others may not know that this gateway has seen answers before.
+  suspects::Enqueue(crash_rows_, Now(), result.answered_before);
   RefuseBannedCalls();
 }
 
--- a/Source/Core/Protocol/SchedulingMessages.h
+++ b/Source/Core/Protocol/SchedulingMessages.h
@@ -118,7 +118,8 @@
 enum class CrashId : std::uint64_t {};
 
 enum class TraitKind : std::uint8_t {
-  kRequest,  // caller, path and body
+  kRequest,     // caller, path and body
+  kPromptPart,  // a part of the prompt that other requests share
 };
 
 // What requests have in common that may crash each upstream which runs them.
--- a/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
@@ -151,7 +151,7 @@
     const protocol::CrashReport& report) {
   const common::TimePoint now = environment_.clock.Now();
   suspects::Enqueue(crash_rows_, now,
-                    suspects::Merge(crash_evidence_, now, report.rows));
+                    suspects::Merge(crash_evidence_, now, report.rows).changed);
   SendCrashReports();
 }
 
--- a/Source/Core/Suspects/CrashEvidence.cpp
+++ b/Source/Core/Suspects/CrashEvidence.cpp
@@ -43,8 +43,9 @@
   return count;
 }
 
-int CrashLimit(const CrashEvidenceOptions& options) {
-  return options.request_crashes;
+int CrashLimit(const CrashEvidenceOptions& options, const CrashRow& row) {
+  if (row.kind == protocol::TraitKind::kRequest) return options.request_crashes;
+  return row.cleared ? options.known_part_crashes : options.new_part_crashes;
 }
 
 protocol::CrashRow ToMessage(common::Fingerprint fingerprint,
@@ -93,9 +94,11 @@
   return later;
 }
 
-// Returns whether this clears crashes that counted before.
+// Returns whether this clears crashes that counted before, or is the first
+// answer that is known.
 bool Clear(CrashRow& row, TimePoint at) {
   const bool changed =
+      !row.cleared ||
       std::any_of(row.crashes.begin(), row.crashes.end(), [&](const auto& it) {
         return IsCounted(row, it.second) && it.second.crashed <= at;
       });
@@ -103,6 +106,29 @@
   return changed;
 }
 
+// Adds what this process knows of earlier answers. Returns whether it was new.
+bool AddEarlierAnswer(const CrashEvidence& evidence,
+                      common::Fingerprint fingerprint, CrashRow& row) {
+  if (row.cleared) return false;
+  const auto it = evidence.answered.find(fingerprint);
+  return it != evidence.answered.end() && Clear(row, it->second);
+}
+
+// Removes the entries with the earliest times.
+template <typename Map, typename TimeOf>
+void LimitSize(Map& map, std::size_t max_size, const TimeOf& time_of) {
+  if (map.size() <= max_size) return;
+  std::vector<std::pair<TimePoint, common::Fingerprint>> by_time;
+  by_time.reserve(map.size());
+  for (const auto& [fingerprint, it] : map) {
+    by_time.emplace_back(time_of(it), fingerprint);
+  }
+  const auto surplus = static_cast<std::ptrdiff_t>(map.size() - max_size);
+  std::nth_element(by_time.begin(), by_time.begin() + surplus, by_time.end());
+  std::for_each(by_time.begin(), by_time.begin() + surplus,
+                [&map](const auto& it) { map.erase(it.second); });
+}
+
 }  // namespace
 
 protocol::CrashId CrashIdOf(const common::UpstreamName& upstream,
@@ -121,7 +147,8 @@
       row.kind = trait.kind;
       const bool added =
           AddSighting(row, crash, {.crashed = crashed, .sent = request.sent});
-      if (added) changed.insert(trait.fingerprint);
+      const bool answered = AddEarlierAnswer(evidence, trait.fingerprint, row);
+      if (added || answered) changed.insert(trait.fingerprint);
     }
   }
   return {changed.begin(), changed.end()};
@@ -130,8 +157,10 @@
 Fingerprints RecordResponse(CrashEvidence& evidence, TimePoint now,
                             const std::vector<protocol::Trait>& traits) {
   Fingerprints changed;
-  if (evidence.rows.empty()) return changed;
   for (const protocol::Trait& trait : traits) {
+    if (trait.kind == protocol::TraitKind::kPromptPart) {
+      evidence.answered[trait.fingerprint] = now;
+    }
     const auto it = evidence.rows.find(trait.fingerprint);
     if (it == evidence.rows.end() || !Clear(it->second, now)) continue;
     changed.push_back(trait.fingerprint);
@@ -139,15 +168,15 @@
   return changed;
 }
 
-Fingerprints Merge(CrashEvidence& evidence, TimePoint now,
-                   const std::vector<protocol::CrashRow>& rows) {
+MergeResult Merge(CrashEvidence& evidence, TimePoint now,
+                  const std::vector<protocol::CrashRow>& rows) {
   const auto time_of = [&](std::chrono::microseconds age) {
     // A malformed age must not overflow.
     const std::chrono::microseconds retention =
         common::ToMicroseconds(evidence.options.retention);
     return now - std::clamp(age, std::chrono::microseconds(0), retention);
   };
-  Fingerprints changes;
+  MergeResult result;
   for (const protocol::CrashRow& message : rows) {
     const common::Fingerprint fingerprint = message.trait.fingerprint;
     const bool known = evidence.rows.contains(fingerprint);
@@ -162,9 +191,13 @@
                                    .sent = time_of(it.sent_age)};
       changed = AddSighting(row, it.crash, sighting) || changed;
     }
-    if (changed) changes.push_back(fingerprint);
+    if (AddEarlierAnswer(evidence, fingerprint, row)) {
+      result.answered_before.push_back(fingerprint);
+      changed = true;
+    }
+    if (changed) result.changed.push_back(fingerprint);
   }
-  return changes;
+  return result;
 }
 
 std::optional<protocol::Trait> FindBannedTrait(
@@ -175,8 +208,11 @@
   for (const protocol::Trait& trait : traits) {
     const auto it = evidence.rows.find(trait.fingerprint);
     if (it == evidence.rows.end()) continue;
-    const bool recent = now - LastCrash(it->second) < options.ban_duration;
-    if (recent && CountCrashes(it->second) >= CrashLimit(options)) return trait;
+    const CrashRow& row = it->second;
+    const bool recent = now - LastCrash(row) < options.ban_duration;
+    if (recent && CountCrashes(row) >= CrashLimit(options, row)) {
+      return trait;
+    }
   }
   return std::nullopt;
 }
@@ -203,23 +239,19 @@
 }
 
 void Expire(CrashEvidence& evidence, TimePoint now) {
+  const CrashEvidenceOptions& options = evidence.options;
   const auto last_change = [](const CrashRow& row) {
     return std::max(LastCrash(row), row.cleared.value_or(TimePoint()));
   };
   std::erase_if(evidence.rows, [&](const auto& it) {
-    return now - last_change(it.second) >= evidence.options.retention;
+    return now - last_change(it.second) >= options.retention;
   });
-  if (evidence.rows.size() <= evidence.options.max_rows) return;
-  std::vector<std::pair<TimePoint, common::Fingerprint>> by_age;
-  for (const auto& [fingerprint, row] : evidence.rows) {
-    by_age.emplace_back(last_change(row), fingerprint);
-  }
-  const auto surplus = static_cast<std::ptrdiff_t>(evidence.rows.size() -
-                                                   evidence.options.max_rows);
-  std::nth_element(by_age.begin(), by_age.begin() + surplus, by_age.end());
-  for (std::ptrdiff_t i = 0; i < surplus; ++i) {
-    evidence.rows.erase(by_age[static_cast<std::size_t>(i)].second);
-  }
+  LimitSize(evidence.rows, options.max_rows, last_change);
+  std::erase_if(evidence.answered, [&](const auto& it) {
+    return now - it.second >= options.retention;
+  });
+  LimitSize(evidence.answered, options.max_answered,
+            [](TimePoint it) { return it; });
 }
 
 void Enqueue(CrashRowQueue& queue, TimePoint now,
--- a/Source/Core/Suspects/CrashEvidence.h
+++ b/Source/Core/Suspects/CrashEvidence.h
@@ -23,13 +23,20 @@
 namespace shallotbeam::suspects {
 
 struct CrashEvidenceOptions {
-  // Number of crashes after which requests with a trait are refused.
+  // Number of crashes after which requests with a trait are refused. More are
+  // needed for a part of a prompt, as sound requests share it, and still more
+  // for one that has been answered before: the prompts that crash upstreams may
+  // all share it with the part that does.
   int request_crashes = 2;
+  int new_part_crashes = 3;
+  int known_part_crashes = 6;
   // How long they are refused after the last crash. The crashes are remembered
   // for longer, so that one more is enough afterwards.
   common::Duration ban_duration = std::chrono::seconds(60);
   common::Duration retention = std::chrono::minutes(10);
   std::size_t max_rows = 10'000;
+  // Parts of prompts that are remembered as answered.
+  std::size_t max_answered = 10'000;
 };
 
 struct CrashSighting {
@@ -40,13 +47,16 @@
 struct CrashRow {
   protocol::TraitKind kind = protocol::TraitKind::kRequest;
   std::unordered_map<protocol::CrashId, CrashSighting> crashes;
-  // Crashes up to this time don't count.
+  // When a request with the trait was last answered. Crashes up to this time
+  // don't count.
   std::optional<common::TimePoint> cleared;
 };
 
 struct CrashEvidence {
   CrashEvidenceOptions options;
   std::unordered_map<common::Fingerprint, CrashRow> rows;
+  // When parts of prompts were last answered by way of this process.
+  std::unordered_map<common::Fingerprint, common::TimePoint> answered;
 };
 
 // A request that had no response when its upstream crashed.
@@ -61,19 +71,24 @@
 
 using Fingerprints = std::vector<common::Fingerprint>;
 
-// The following three return the fingerprints of the rows that changed.
-
+// Returns the fingerprints of the rows that changed.
 Fingerprints RecordCrash(CrashEvidence& evidence, protocol::CrashId crash,
                          common::TimePoint crashed,
                          const std::vector<CrashedRequest>& requests);
 
-// Records the response to a request.
+// Records the response to a request. Returns the same.
 Fingerprints RecordResponse(CrashEvidence& evidence, common::TimePoint now,
                             const std::vector<protocol::Trait>& traits);
 
+struct MergeResult {
+  Fingerprints changed;
+  // Those to which this process has added an earlier answer.
+  Fingerprints answered_before;
+};
+
 // Merges the rows of another process.
-Fingerprints Merge(CrashEvidence& evidence, common::TimePoint now,
-                   const std::vector<protocol::CrashRow>& rows);
+MergeResult Merge(CrashEvidence& evidence, common::TimePoint now,
+                  const std::vector<protocol::CrashRow>& rows);
 
 // The trait by which a request is refused, if any.
 std::optional<protocol::Trait> FindBannedTrait(
@@ -88,8 +103,7 @@
 // All fingerprints that are suspected, for a process that knows of none.
 Fingerprints Suspects(const CrashEvidence& evidence);
 
-// Removes rows whose last crash is too long ago, and the oldest ones if there
-// are too many.
+// Removes what is too old, and the oldest entries if there are too many.
 void Expire(CrashEvidence& evidence, common::TimePoint now);
 
 // Rows that are to be sent to other processes. Messages may be lost, so that
--- a/Source/UnitTests/Core/Gateway/CrashingRequestsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/CrashingRequestsTest.cpp
@@ -75,12 +75,13 @@
     return count;
   }
   std::string Send(const std::string& body,
-                   const std::string& path = "/order/1") {
+                   const std::string& path = "/order/1",
+                   const std::string& headers = "") {
     Caller caller(fleet.context, fleet.gateway->CallersPort());
     caller.Send(
-        fmt::format("POST {} HTTP/1.1\r\nHost: service\r\nId: r{}\r\n"
+        fmt::format("POST {} HTTP/1.1\r\nHost: service\r\nId: r{}\r\n{}"
                     "Content-Length: {}\r\n\r\n{}",
-                    path, ++sent_, body.size(), body));
+                    path, ++sent_, headers, body.size(), body));
     fleet.RunUntil([&] {
       return Contains(caller.Received(), "done") ||
              Contains(caller.Received(), "HTTP/1.1 4") ||
@@ -136,6 +137,25 @@
   BOOST_CHECK_EQUAL(Requests(), 2);
 }
 
+// Guards against requests that crash one upstream after the other by a part of
+// their prompts, though no two of them are alike.
+BOOST_AUTO_TEST_CASE(RequestsWithAPartThatCrashesUpstreamsAreRefused) {
+  const auto send = [&](const std::string& body, const std::string& parts) {
+    return Send(body + parts, "/order/1", "Parts: " + parts + "\r\n");
+  };
+  BOOST_CHECK_EQUAL(send("sound", "1 2 100"), "HTTP/1.1 200");
+  for (const char* last : {"101", "102", "103"}) {
+    BOOST_CHECK_EQUAL(send("deadly", std::string("1 66 ") + last),
+                      "HTTP/1.1 502");
+  }
+  const std::size_t requests = Requests();
+  BOOST_CHECK_EQUAL(send("deadly", "1 66 104"), "HTTP/1.1 422");
+  BOOST_CHECK_EQUAL(send("deadly", "3 66 105"), "HTTP/1.1 422");
+  BOOST_CHECK_EQUAL(Requests(), requests);
+  // The last part belongs to the request alone.
+  BOOST_CHECK_EQUAL(send("sound", "1 2 66"), "HTTP/1.1 200");
+}
+
 // Guards against requests that are refused because their upstream breaks
 // connections without having crashed.
 BOOST_AUTO_TEST_CASE(BrokenConnectionsAreNoCrashes) {
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <chrono>
+#include <optional>
+#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -28,6 +30,18 @@
   return it == fields.end() ? std::string() : std::string(it->value());
 }
 
+// Ids of parts, separated by blanks.
+std::optional<common::Prompt> DecodePrompt(const std::string& text) {
+  if (text.empty()) return std::nullopt;
+  common::Prompt prompt{.model = "m"};
+  std::istringstream in(text);
+  for (std::uint64_t id = 0; in >> id;) {
+    prompt.parts.push_back({.id = id, .tokens = 10});
+    prompt.prompt_tokens += 10;
+  }
+  return prompt;
+}
+
 forwarding::RequestMetadata DecodeRequest(const Fields& fields) {
   forwarding::RequestMetadata metadata{
       .request_id = Get(fields, "Id"),
@@ -37,6 +51,7 @@
   if (!left.empty()) {
     metadata.deadline = std::chrono::milliseconds(std::stoi(left));
   }
+  metadata.prompt = DecodePrompt(Get(fields, "Parts"));
   return metadata;
 }
 
--- a/Source/UnitTests/Core/Suspects/CrashEvidenceTest.cpp
+++ b/Source/UnitTests/Core/Suspects/CrashEvidenceTest.cpp
@@ -18,6 +18,11 @@
           .kind = protocol::TraitKind::kRequest};
 }
 
+protocol::Trait PartTrait(std::uint64_t number) {
+  return {.fingerprint = static_cast<common::Fingerprint>(number),
+          .kind = protocol::TraitKind::kPromptPart};
+}
+
 protocol::CrashId Crash(std::uint64_t number) {
   return static_cast<protocol::CrashId>(number);
 }
@@ -53,6 +58,55 @@
   BOOST_CHECK(!IsBanned(RequestTrait(8)));
 }
 
+// Guards against requests that crash one upstream after the other by a part of
+// their prompts, no two of them alike, and against the refusal of sound
+// requests that share the other parts.
+BOOST_AUTO_TEST_CASE(OnlyThePartThatCrashesUpstreamsIsBanned) {
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    BOOST_CHECK(!IsBanned(PartTrait(66)));
+    clock.Advance(500ms);
+    // Part 1 is in all prompts, part 2 in one of the sound ones that wait.
+    RecordCrash(
+        evidence, Crash(crash), clock.Now(),
+        {{.traits = {RequestTrait(100 + crash), PartTrait(1), PartTrait(66)},
+          .sent = clock.Now() - 300ms},
+         {.traits = {RequestTrait(200 + crash), PartTrait(1),
+                     PartTrait(1 + crash)},
+          .sent = clock.Now() - 200ms}});
+    clock.Advance(100ms);
+    RecordResponse(evidence, clock.Now(), {RequestTrait(300), PartTrait(1)});
+  }
+  BOOST_CHECK(IsBanned(PartTrait(66)));
+  for (const std::uint64_t it : {1, 2, 3, 4}) {
+    BOOST_CHECK(!IsBanned(PartTrait(it)));
+  }
+}
+
+// Guards against the refusal of sound requests that share a part with all
+// prompts that crash upstreams: that part was answered before, at any gateway.
+BOOST_AUTO_TEST_CASE(PartThatWasAnsweredBeforeIsNotBannedWithTheOther) {
+  CrashEvidence other;
+  RecordResponse(other, clock.Now(), {PartTrait(1)});
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    clock.Advance(500ms);
+    const auto changed = RecordCrash(evidence, Crash(crash), clock.Now(),
+                                     {{.traits = {PartTrait(1), PartTrait(66)},
+                                       .sent = clock.Now() - 300ms}});
+    const auto result =
+        Merge(other, clock.Now(), RowsOf(evidence, clock.Now(), changed));
+    Merge(evidence, clock.Now(),
+          RowsOf(other, clock.Now(), result.answered_before));
+  }
+  BOOST_CHECK(IsBanned(PartTrait(66)));
+  BOOST_CHECK(!IsBanned(PartTrait(1)));
+  // It is banned all the same if it turns out to crash upstreams.
+  for (std::uint64_t crash = 4; crash <= 6; ++crash) {
+    BOOST_CHECK(!IsBanned(PartTrait(1)));
+    CrashAfter(500ms, crash, PartTrait(1), 300ms);
+  }
+  BOOST_CHECK(IsBanned(PartTrait(1)));
+}
+
 // Guards against a ban of all requests that many upstreams were running when
 // they lost power together.
 BOOST_AUTO_TEST_CASE(SimultaneousCrashesCountOnce) {
@@ -76,7 +130,7 @@
   BOOST_CHECK(!IsBanned(RequestTrait(7)));
   BOOST_CHECK(RecordResponse(evidence, clock.Now(), {RequestTrait(7)}).empty());
   clock.Advance(1ms);
-  BOOST_CHECK(Merge(evidence, clock.Now(), rows).empty());
+  BOOST_CHECK(Merge(evidence, clock.Now(), rows).changed.empty());
   BOOST_CHECK(!IsBanned(RequestTrait(7)));
 }
 
@@ -172,7 +226,12 @@
   for (std::uint64_t it = 1; it <= 20; ++it) {
     CrashAfter(1ms, it, RequestTrait(it), 300ms);
   }
+  evidence.options.max_answered = 3;
+  for (std::uint64_t it = 1; it <= 20; ++it) {
+    RecordResponse(evidence, clock.Now(), {PartTrait(100 + it)});
+  }
   Expire(evidence, clock.Now());
+  BOOST_CHECK_EQUAL(evidence.answered.size(), 3);
   BOOST_CHECK_EQUAL(evidence.rows.size(), 5);
   BOOST_CHECK(evidence.rows.contains(RequestTrait(20).fingerprint));
 }
