--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -238,31 +238,38 @@
 
 void Gateway::ApplyStoreUpdate(const platform_clients::StoreUpdate& update,
                                const ResultOrigin& origin) {
-  const milliseconds call_time =
-      std::chrono::duration_cast<milliseconds>(Now() - store_.call_sent);
+  const common::Duration call_time = Now() - store_.call_sent;
   if (update.disconnected || update.reconnected) {
     Log(Subsystem::kPlatform, LogLevel::kWarning,
         "event=store_{} call_ms={} store_age_ms={}",
-        update.disconnected ? "lost" : "regained", call_time.count(),
+        update.disconnected ? "lost" : "regained", call_time / milliseconds(1),
         StoreAge().value_or(milliseconds(-1)) / milliseconds(1));
   }
   for (const platform_clients::ItemChange& it : update.changes) {
-    const auto change = environment_.decode(it);
-    if (!change) continue;
-    if (change_relay_ && IsRelayed(*change)) change_relay_->Record(it);
-    if (change->catalogue) {
-      Log(Subsystem::kConfig, LogLevel::kInfo,
-          "event=config_received version={} source={} call_ms={} "
-          "copy_age_ms={}",
-          common::ToNumber(change->catalogue->version), origin.source,
-          call_time.count(), origin.copy_age.count());
-    }
-    ApplyChange(*change);
+    // One item that can't be handled must not hide the others.
+    common::RunGuarded("store_change", [&] {
+      if (auto change = environment_.decode(it)) {
+        ApplyItem(it, *change, origin, call_time);
+      }
+    });
   }
   if (change_relay_) change_relay_->OnUpdate(update);
   SendStoreCall();
 }
 
+void Gateway::ApplyItem(const platform_clients::ItemChange& item,
+                        const FleetChange& change, const ResultOrigin& origin,
+                        common::Duration call_time) {
+  if (change_relay_ && IsRelayed(change)) change_relay_->Record(item);
+  if (change.catalogue) {
+    Log(Subsystem::kConfig, LogLevel::kInfo,
+        "event=config_received version={} source={} call_ms={} copy_age_ms={}",
+        common::ToNumber(change.catalogue->version), origin.source,
+        call_time / milliseconds(1), origin.copy_age.count());
+  }
+  ApplyChange(change);
+}
+
 bool Gateway::IsRelayed(const FleetChange& change) const {
   if (change.catalogue) return true;
   const auto known = upstreams_.upstreams.find(change.upstream);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -111,6 +111,9 @@
   void SendStoreCall();
   void ApplyStoreUpdate(const platform_clients::StoreUpdate& update,
                         const ResultOrigin& origin);
+  void ApplyItem(const platform_clients::ItemChange& item,
+                 const FleetChange& change, const ResultOrigin& origin,
+                 common::Duration call_time);
   void ApplyChange(const FleetChange& change);
   // Whether other gateways need the change. Upstreams renew their entries about
   // once a second, mostly without a change of their state.
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -287,11 +287,14 @@
     clock.Advance(kTickInterval);
     gateway->OnTick();
   }
-  store.CompletePoll(
-      {.status = absl::OkStatus(),
-       .changes = {{.item = {.key = std::to_string(pending_.size() - 1),
-                             .revision = revision_}}},
-       .as_of = revision_});
+  platform_clients::ChangesResult result{.status = absl::OkStatus(),
+                                         .as_of = revision_};
+  if (with_unreadable_items) {
+    result.changes.push_back({.item = {.key = "x", .revision = revision_}});
+  }
+  result.changes.push_back({.item = {.key = std::to_string(pending_.size() - 1),
+                                     .revision = revision_}});
+  store.CompletePoll(std::move(result));
 }
 
 void GatewayFixture::AddUpstream(const std::string& name,
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -121,6 +121,8 @@
   catalogue::Catalogue catalogue;
   std::unique_ptr<Gateway> gateway;
   std::vector<std::string> sent_messages;
+  // An item that throws when it is decoded comes before each change.
+  bool with_unreadable_items = false;
 
  private:
   void Change(FleetChange change);
--- a/Source/UnitTests/Core/Gateway/GatewayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayTest.cpp
@@ -43,6 +43,18 @@
   fleet.RunUntil([&] { return silent.OpenConnections() == 0; });
 }
 
+// Guards against an item of the store that hides the changes which arrive with
+// it.
+BOOST_AUTO_TEST_CASE(UnreadableItemHidesNoOtherChange) {
+  GatewayFixture fleet;
+  fleet.with_unreadable_items = true;
+  FakeUpstream upstream(fleet.context, RespondDone);
+  fleet.AddUpstream("u1", upstream.Endpoint());
+  Caller caller(fleet.context, fleet.gateway->CallersPort());
+  caller.Send(GatewayFixture::Request("/order/1"));
+  fleet.RunUntil([&] { return Contains(caller.Received(), "done"); });
+}
+
 // Guards against new requests to a draining upstream.
 BOOST_AUTO_TEST_CASE(DrainingUpstreamGetsNoNewWork) {
   GatewayFixture fleet;
--- a/Source/UnitTests/Platform/StoreClientTest.cpp
+++ b/Source/UnitTests/Platform/StoreClientTest.cpp
@@ -29,14 +29,14 @@
   platform_clients::ListResult List() {
     std::optional<platform_clients::ListResult> result;
     store.List("", "", [&](auto it) { result = std::move(it); });
-    for (int i = 0; i < 2'000 && !result; ++i) context.run_one_for(10ms);
+    for (int i = 0; i < 50'000 && !result; ++i) context.run_one_for(10ms);
     BOOST_REQUIRE(result.has_value());
     return *std::move(result);
   }
   platform_clients::ChangesResult Poll() {
     std::optional<platform_clients::ChangesResult> result;
     store.AwaitChanges("", 1, 0ms, [&](auto it) { result = std::move(it); });
-    for (int i = 0; i < 2'000 && !result; ++i) context.run_one_for(10ms);
+    for (int i = 0; i < 50'000 && !result; ++i) context.run_one_for(10ms);
     BOOST_REQUIRE(result.has_value());
     return *std::move(result);
   }
@@ -60,7 +60,11 @@
       R"({"events":[{"key":"a","revision":2,"removed":1}],"asOf":2})",
       R"({"events":[{"key":"a","value":7,"revision":-2}],"asOf":-2})",
       R"({"items":[{"key":"a","value":"%","revision":1e300}],"asOf":2})",
-      std::string(200'000, '[')};
+      std::string(200'000, '['),
+      R"({"asOf":2,"events":[)" + std::string(200'000, '[') +
+          std::string(200'000, ']') + "]}",
+      R"({"asOf":2,"items":[)" + std::string(200'000, '[') +
+          std::string(200'000, ']') + "]}"};
   for (const std::string& it : bodies) {
     body = it;
     BOOST_TEST_CONTEXT(it.substr(0, 60)) {
--- a/Source/UnitTests/Platform/StoreItemsTest.cpp
+++ b/Source/UnitTests/Platform/StoreItemsTest.cpp
@@ -94,6 +94,62 @@
   BOOST_CHECK(!Decode("other/u", "{}"));
 }
 
+// Guards against an entry of another writer that ends the process, hides the
+// other entries or names an upstream that can't be used.
+BOOST_AUTO_TEST_CASE(OddEntriesNameNoUpstream) {
+  const auto entry = [](const std::string& address, const std::string& slots,
+                        const std::string& more) {
+    return R"({"service":"s","zone":"z","state":"ready","address":")" +
+           address + R"(","slots":)" + slots + more + "}";
+  };
+  BOOST_CHECK(Decode("servers/u", entry("10.0.0.1:80", "4", ""))->entry);
+  constexpr std::size_t kDepth = 400'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::vector<std::string> odd = {
+      nested,
+      entry("10.0.0.1:80", nested, ""),
+      entry("10.0.0.1:80", "4", R"(,"born":)" + nested),
+      entry("10.0.0.1:80", "1e300", ""),
+      entry("10.0.0.1:80", "1e999", ""),
+      entry("10.0.0.1:80", "99999999999999999999999999", ""),
+      entry("10.0.0.1:80", "4294967300", ""),
+      entry("10.0.0.1:80", "-1", ""),
+      entry("10.0.0.1:80", "4.5", ""),
+      entry("10.0.0.1:80", "4", R"(,"born":1e300)"),
+      entry("10.0.0.1:80", "4", R"(,"born":-5)"),
+      entry("10.0.0.1:80", "4", R"(,"born":18446744073709551615)"),
+      entry("10.0.0.1:70000", "4", ""),
+      entry("10.0.0.1:0", "4", ""),
+      entry("10.0.0.1:-80", "4", ""),
+      entry("10.0.0.1:", "4", ""),
+      entry("10.0.0.1", "4", ""),
+      entry("10.0.0:80", "4", ""),
+      "\xff\xfe",
+      "null",
+      ""};
+  for (const std::string& it : odd) {
+    BOOST_TEST_CONTEXT(it.substr(0, 90)) {
+      std::optional<gateway::FleetChange> change;
+      BOOST_CHECK_NO_THROW(change = Decode("servers/u", it));
+      BOOST_CHECK(!change || !change->entry);
+    }
+  }
+}
+
+// Guards against a request that is smuggled to an upstream by way of a name
+// with a line break, which is sent in a header.
+BOOST_AUTO_TEST_CASE(NamesAreFitForHeaders) {
+  const std::string value =
+      R"({"service":"s","zone":"z","state":"ready","address":"10.0.0.1:80",)"
+      R"("slots":4})";
+  BOOST_CHECK(Decode("servers/i-1", value));
+  for (const char* key : {"servers/", "servers/a b", "servers/a\r\nHold: 1",
+                          "servers/\x01", "servers/\xc3\xa9"}) {
+    BOOST_CHECK(!Decode(key, value));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(RequestHeadersTest)
