--- a/Source/Core/Config/Document.cpp
+++ b/Source/Core/Config/Document.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "Common/Json.h"
 #include "Common/NearestName.h"
 #include "Config/Folder.h"
 #include "Config/Keys.h"
@@ -208,8 +209,7 @@
 
 absl::StatusOr<FleetConfig> ParseDocument(std::string_view document) {
   MergedDocument merged;
-  merged.root = json::parse(document.begin(), document.end(), nullptr,
-                            /*allow_exceptions=*/false);
+  merged.root = common::ParseJson(document);
   if (merged.root.is_discarded() || !merged.root.is_object()) {
     return absl::InvalidArgumentError(
         "configuration document is not a JSON object");
--- a/Source/Core/Config/Publication.cpp
+++ b/Source/Core/Config/Publication.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Common/Json.h"
 #include "absl/status/status.h"
 
 namespace shallotbeam::config {
@@ -10,11 +11,6 @@
 
 using nlohmann::json;
 
-json Parse(std::string_view text) {
-  return json::parse(text.begin(), text.end(), nullptr,
-                     /*allow_exceptions=*/false);
-}
-
 std::string StringOrEmpty(const json& object, const char* key) {
   const auto it = object.find(key);
   return it != object.end() && it->is_string() ? it->get<std::string>() : "";
@@ -26,12 +22,12 @@
   const json value = {{"publisher", publication.publisher},
                       {"id", publication.id},
                       {"time", publication.time},
-                      {"document", Parse(publication.document)}};
+                      {"document", common::ParseJson(publication.document)}};
   return value.dump();
 }
 
 absl::StatusOr<Publication> ParsePublication(std::string_view value) {
-  const json root = Parse(value);
+  const json root = common::ParseJson(value);
   if (!root.is_object()) {
     return absl::InvalidArgumentError(
         "the published value is not a JSON object");
@@ -45,7 +41,7 @@
 }
 
 bool IsSameDocument(std::string_view a, std::string_view b) {
-  return Parse(a) == Parse(b);
+  return common::ParseJson(a) == common::ParseJson(b);
 }
 
 }  // namespace shallotbeam::config
--- a/Source/Core/PlatformClients/HostList.cpp
+++ b/Source/Core/PlatformClients/HostList.cpp
@@ -1,10 +1,12 @@
 #include "PlatformClients/HostList.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
+#include "Common/Json.h"
+#include "Common/Logging.h"
 #include "absl/status/status.h"
-#include "absl/strings/str_cat.h"
 
 namespace shallotbeam::platform_clients {
 
@@ -17,30 +19,45 @@
   return it != object.end() && it->is_string();
 }
 
+// Absent if the row names no host.
+std::optional<Host> ParseHost(const json& row) {
+  const bool has_all_fields = row.is_object() && HasString(row, "name") &&
+                              HasString(row, "address") &&
+                              HasString(row, "state");
+  if (!has_all_fields) return std::nullopt;
+  const auto state = row["state"].get<std::string>();
+  if (state != "live" && state != "leaving") return std::nullopt;
+  return Host{
+      .name = row["name"].get<std::string>(),
+      .address = row["address"].get<std::string>(),
+      .state = state == "live" ? HostState::kLive : HostState::kLeaving};
+}
+
 }  // namespace
 
 HostsResult ParseHosts(const std::string& text) {
-  const json list = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  const json list = common::ParseJson(text);
   if (!list.is_array()) {
     return absl::InvalidArgumentError("host list: expected a JSON list");
   }
   std::vector<Host> hosts;
+  std::size_t ignored = 0;
   for (const json& it : list) {
-    const bool has_all_fields = it.is_object() && HasString(it, "name") &&
-                                HasString(it, "address") &&
-                                HasString(it, "state");
-    const std::string state =
-        has_all_fields ? it["state"].get<std::string>() : "";
-    if (state != "live" && state != "leaving") {
-      return absl::InvalidArgumentError(
-          absl::StrCat("host list: expected name, address and state \"live\" "
-                       "or \"leaving\", found ",
-                       it.dump()));
+    auto host = ParseHost(it);
+    if (host) {
+      hosts.push_back(*std::move(host));
+    } else {
+      ++ignored;
     }
-    hosts.push_back(
-        {.name = it["name"].get<std::string>(),
-         .address = it["address"].get<std::string>(),
-         .state = state == "live" ? HostState::kLive : HostState::kLeaving});
+  }
+  if (hosts.empty() && ignored > 0) {
+    return absl::InvalidArgumentError(
+        "host list: expected name, address and state \"live\" or "
+        "\"leaving\" in each row");
+  }
+  if (ignored > 0) {
+    common::Log(common::Subsystem::kPlatform, common::LogLevel::kWarning,
+                "event=host_rows_ignored rows={}", ignored);
   }
   return hosts;
 }
--- a/Source/UnitTests/Core/Config/DocumentTest.cpp
+++ b/Source/UnitTests/Core/Config/DocumentTest.cpp
@@ -163,4 +163,15 @@
   }
 }
 
+// Guards against a published document whose nesting ends every process that
+// reads it.
+BOOST_AUTO_TEST_CASE(DeeplyNestedDocumentIsRejected) {
+  constexpr std::size_t kDepth = 400'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  BOOST_CHECK(!ParseDocument(nested).ok());
+  BOOST_CHECK(!ParseDocument(R"({"pools":)" + nested + "}").ok());
+  BOOST_CHECK(!ParseDocument(R"({"document":{"pools":)" + nested + "}}").ok());
+}
+
 }  // namespace shallotbeam::config
--- a/Source/UnitTests/Core/PlatformClients/EtcdStoreTest.cpp
+++ b/Source/UnitTests/Core/PlatformClients/EtcdStoreTest.cpp
@@ -131,4 +131,25 @@
   }
 }
 
+// Guards against one odd row that hides the other hosts, so that a leaving host
+// keeps its work, and against a row whose nesting ends the process.
+BOOST_AUTO_TEST_CASE(OddRowHidesNoOtherHost) {
+  const std::string row =
+      R"({"name":"h","address":"10.0.0.1","state":"leaving"})";
+  for (const std::string& odd :
+       {std::string("1"), std::string(R"({"name":"h"})"),
+        std::string(R"({"name":"h","address":"a","state":"gone"})"),
+        std::string(R"({"name":"h","address":1e300,"state":"live"})"),
+        std::string(R"({"name":[[[]]],"address":"a","state":"live"})")}) {
+    const HostsResult hosts = ParseHosts("[" + odd + "," + row + "]");
+    BOOST_REQUIRE(hosts.ok());
+    BOOST_REQUIRE_EQUAL(hosts->size(), 1);
+    BOOST_TEST(((*hosts)[0].state == HostState::kLeaving));
+  }
+  constexpr std::size_t kDepth = 400'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  BOOST_TEST(!ParseHosts("[" + nested + "," + row + "]").ok());
+}
+
 }  // namespace shallotbeam::platform_clients
