Don't reuse an agent's connection after a refusal of its upstream

The agent's client has no ids to compare. An engine's refusal (429) that arrives a second time after the next request was sent counted as the answer to it: verdict "not run", so that the request was sent to another engine as well.

Change: the agent closes a connection after a response with status 400 or above. What remains: a second copy of a success can't be told from the next response.

HttpClientTest/RefusalSentTwiceIsNotTakenForTheNextResponse: 429 instead of 200 for the second request with connections kept.

--- a/Source/Core/Runtime/AgentProcess.cpp
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -82,7 +82,8 @@
   const common::SteadyClock clock;
   ProcessHost host(settings.threads);
   ActorHost actors;
-  transport::HttpClient client(host.Context());
+  transport::HttpClient client(host.Context(), clock,
+                               {.keep_after_errors = false});
 
   // Points to the actor. Set once the actor is spawned, which needs the
   // callbacks below. Control messages that arrive before that are dropped.
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -35,6 +35,7 @@
 // Limit for the body of a response that is collected in memory.
 constexpr std::size_t kMaxFetchedBytes = 8'388'608;
 constexpr unsigned kHttpVersion = 11;
+constexpr int kFirstError = 400;
 const common::SteadyClock kSteadyClock;
 
 struct Connection {
@@ -89,6 +90,10 @@
     }
   }
 
+  bool KeepsAfter(int status) const {
+    return options_.keep_after_errors || status < kFirstError;
+  }
+
   void CloseIdle(const common::Endpoint& endpoint) {
     const std::lock_guard<std::mutex> lock(mutex_);
     idle_.erase(endpoint);
@@ -225,7 +230,9 @@
   }
 
   void Complete() {
-    const bool reusable = parser_->keep_alive();
+    const bool reusable =
+        parser_->keep_alive() &&
+        pool_->KeepsAfter(static_cast<int>(parser_->get().result_int()));
     connection_->stream.expires_never();
     if (reusable) pool_->Release(endpoint_, std::move(connection_));
     End(CallEnd::kComplete);
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -52,6 +52,10 @@
   // being closed, which only the timeout of the next call on it would show, so
   // that calls which must be answered soon need a short time.
   common::Duration max_idle = std::chrono::hours(1);
+  // Whether a connection is kept after a response with status 400 or above. A
+  // faulty server may send a refusal twice, which would then be taken for the
+  // response to the next request.
+  bool keep_after_errors = true;
 };
 
 // Sends requests over keep-alive connections from a pool. When a call times
--- a/Source/UnitTests/Core/Transport/HttpClientTest.cpp
+++ b/Source/UnitTests/Core/Transport/HttpClientTest.cpp
@@ -2,6 +2,9 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <string>
+#include <thread>
+#include <vector>
 
 #include "Common/Clock.h"
 #include "HttpFixture.h"
@@ -160,6 +163,48 @@
   }
 }
 
+// Guards against "not run" for a request that the server runs: it sends an
+// earlier refusal once more after the request has arrived.
+BOOST_AUTO_TEST_CASE(RefusalSentTwiceIsNotTakenForTheNextResponse) {
+  boost::asio::io_context context;
+  const common::ManualClock clock;
+  boost::asio::ip::tcp::acceptor acceptor(
+      context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  const std::string refusal = "HTTP/1.1 429 x\r\nContent-Length: 2\r\n\r\nno";
+  std::thread server([&] {
+    // A connection that answers each request with the refusal, and one that
+    // serves.
+    boost::system::error_code ec;
+    boost::asio::ip::tcp::socket refusing = acceptor.accept();
+    ReadUntil(refusing, "\r\n\r\n");
+    WriteText(refusing, refusal);
+    const std::string next = ReadUntil(refusing, "\r\n\r\n");
+    if (!next.empty()) {
+      WriteText(refusing, refusal);
+      return;
+    }
+    boost::asio::ip::tcp::socket serving = acceptor.accept();
+    ReadUntil(serving, "\r\n\r\n");
+    WriteText(serving, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  });
+  HttpClient client(context, clock, {.keep_after_errors = false});
+  std::vector<int> statuses;
+  for (int i = 0; i < 2; ++i) {
+    client.Fetch(
+        {.address = "127.0.0.1", .port = acceptor.local_endpoint().port()},
+        {.method = "POST", .target = "/"}, std::chrono::seconds(5),
+        [&](CallEnd, const HttpResponse& it) {
+          statuses.push_back(it.status);
+        });
+    context.restart();
+    context.run();
+  }
+  server.join();
+  BOOST_REQUIRE_EQUAL(statuses.size(), 2);
+  BOOST_CHECK_EQUAL(statuses[0], 429);
+  BOOST_CHECK_EQUAL(statuses[1], 200);
+}
+
 // Guards against unbounded buffering when the consumer is slower than the
 // server.
 BOOST_AUTO_TEST_CASE(NextPieceWaitsForResume) {
