--- a/Source/UnitTests/Core/Gateway/FailingUpstreamsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/FailingUpstreamsTest.cpp
@@ -259,6 +259,34 @@
   BOOST_CHECK(!Contains(other.Received(), "stray"));
 }
 
+// Guards against "not run" for an order that the upstream runs: it sends the
+// refusal of an earlier order once more on the kept connection.
+BOOST_AUTO_TEST_CASE(RefusalSentTwiceIsNotTakenForTheNextOrder) {
+  for (const char* id : {"Id: r1\r\n", ""}) {
+    GatewayFixture fleet;
+    const std::string refusal = std::string("HTTP/1.1 503 x\r\n") + id +
+                                "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    int requests = 0;
+    FakeUpstream upstream(fleet.context, [&](const std::string& request) {
+      if (++requests == 1) return RespondNotRun(request);
+      return FakeUpstream::Reaction{
+          .bytes = refusal + ResponseWithDigest(request, "fresh")};
+    });
+    fleet.AddUpstream("u1", upstream.Endpoint());
+    BOOST_CHECK(Contains(SendAndReceive(fleet, "/order/1"), "HTTP/1.1 503"));
+    Caller caller(fleet.context, fleet.gateway->CallersPort());
+    caller.Send(
+        "POST /order/2 HTTP/1.1\r\nHost: service\r\nId: r2\r\n"
+        "Content-Length: 0\r\n\r\n");
+    fleet.RunUntil([&] { return Contains(caller.Received(), "HTTP/1.1 "); });
+    // Without an id the refusal may be the response, so that nothing is known.
+    const bool has_id = *id != '\0';
+    BOOST_CHECK(
+        Contains(caller.Received(), has_id ? "HTTP/1.1 200" : "HTTP/1.1 502"));
+    BOOST_CHECK_EQUAL(upstream.Requests().size(), 2);
+  }
+}
+
 // Guards against requests to an upstream that was restarted, or whose address
 // now belongs to another upstream. On the test deployment hlasnik-prod, day
 // hunt-fd38-23, the new upstream at the address rejected the first attempt of
