Continue a stream only with a stream, and don't end it inside an event

Here: answers other than 2xx were not relayed, but any success was. Of eleven continuations, a 200 of another type, a 200 that is JSON, a 204, a 206 and a stream that ends with its connection inside an event were passed on or ended the caller's stream as complete; so did a first stream that ends inside an event without a stated length.

Change: a response continues another one only with the same status and content type. A stream whose end is that of its connection is broken if it ends inside an event; with a length or chunks its end is stated, and it is passed on as before.

Before: FailingUpstreamsTest/ErrorOfTheNextUpstreamIsNotPartOfTheStream fails for five of the eleven, StreamThatEndsInsideAnEventIsBroken fails, StreamMayEndWithItsConnection passes.

--- a/Source/Core/Forwarding/UpstreamConnection.cpp
+++ b/Source/Core/Forwarding/UpstreamConnection.cpp
@@ -218,6 +218,7 @@
         std::chrono::duration<double>(*seconds * kIdleTimeoutFraction));
   }
   response.fields = message.base();
+  response.ends_with_connection = parser_->need_eof();
   listener_->OnUpstreamHead(std::move(response));
   return !closed_ && listener_ != nullptr;
 }
--- a/Source/Core/Forwarding/UpstreamConnection.h
+++ b/Source/Core/Forwarding/UpstreamConnection.h
@@ -22,6 +22,8 @@
   int status = 0;
   Fields fields;
   ResponseMetadata metadata;
+  // The body has no stated length and ends with the connection.
+  bool ends_with_connection = false;
 };
 
 enum class ExchangeEnd : std::uint8_t {
--- a/Source/Core/Gateway/Call.cpp
+++ b/Source/Core/Gateway/Call.cpp
@@ -132,9 +132,7 @@
     outcome_by_head_ = AttemptEnd::kRefused;
     refused_at = gateway.Now();
   } else if (encoded || (success && !response_.metadata.has_digest) ||
-             (response_started_ && !success)) {
-    // A resumed stream has already sent its status to the caller, so that an
-    // error response of the next upstream can't be relayed.
+             (response_started_ && !ContinuesResponse())) {
     outcome_by_head_ = AttemptEnd::kInvalid;
   }
   if (outcome_by_head_ == AttemptEnd::kInvalid) {
@@ -142,6 +140,13 @@
   }
 }
 
+// A resumed stream has already sent its status and type to the caller, so that
+// an error of the next upstream, or a response of another kind, can't follow.
+bool Call::ContinuesResponse() const {
+  return response_.status == started_status_ &&
+         response_.fields[http::field::content_type] == started_type_;
+}
+
 void Call::EndAttempt(AttemptEnd end) {
   const auto connection = std::exchange(connection_, nullptr);
   connection->Close();
@@ -176,7 +181,7 @@
     result = outcome_by_head_;
   } else if (end == ExchangeEnd::kNotConnected) {
     result = AttemptEnd::kNotConnected;
-  } else if (end == ExchangeEnd::kComplete) {
+  } else if (end == ExchangeEnd::kComplete && !EndsInsideEvent()) {
     result = !response_started_ && IsServerError(response_.status)
                  ? AttemptEnd::kFailed
                  : AttemptEnd::kAnswered;
@@ -185,6 +190,12 @@
   gateway.OnAttemptEnd(*this, result, response_);
 }
 
+// Without a stated length, the end of a stream can't be told from a broken
+// connection, except by an incomplete event.
+bool Call::EndsInsideEvent() const {
+  return response_.ends_with_connection && !scanner_.Partial().empty();
+}
+
 std::string Call::ResponseHeaders() const {
   std::string headers;
   for (const auto& it : response_.fields) {
@@ -201,6 +212,8 @@
 void Call::StartResponse() {
   if (response_started_) return;
   response_started_ = true;
+  started_status_ = response_.status;
+  started_type_ = std::string(response_.fields[http::field::content_type]);
   caller->BeginStream(response_.status, ResponseHeaders());
 }
 
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -120,6 +120,10 @@
   std::string ResponseHeaders() const;
   // Ends the attempt without the rest of the upstream's response.
   void EndAttempt(AttemptEnd end);
+  // Whether the response of another upstream can continue the one that has
+  // begun.
+  bool ContinuesResponse() const;
+  bool EndsInsideEvent() const;
   void StartResponse();
   void Deliver(std::string_view bytes);
 
@@ -132,6 +136,8 @@
   std::size_t refusal_bytes_ = 0;
   forwarding::EventScanner scanner_;
   bool response_started_ = false;
+  int started_status_ = 0;
+  std::string started_type_;
 };
 
 }  // namespace shallotbeam::gateway
--- a/Source/UnitTests/Core/Gateway/FailingUpstreamsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/FailingUpstreamsTest.cpp
@@ -211,6 +211,107 @@
   BOOST_CHECK_EQUAL(text.find("id: 2"), text.rfind("id: 2"));
 }
 
+// A stream that has begun at the first upstream, breaks off, and is continued
+// by the second one with `next`.
+struct ContinuedStream {
+  explicit ContinuedStream(const std::string& next)
+      : first(fleet.context, Behaviour(next)),
+        second(fleet.context, Behaviour(next)),
+        caller(fleet.context, fleet.gateway->CallersPort()) {
+    fleet.AddUpstream("u1", first.Endpoint());
+    fleet.AddUpstream("u2", second.Endpoint());
+    caller.Send(GatewayFixture::Request("/told/1"));
+    fleet.RunUntil([this] {
+      return caller.IsClosed() || Contains(caller.Received(), "0\r\n\r\n");
+    });
+  }
+
+  static FakeUpstream::Behaviour Behaviour(const std::string& next) {
+    return [next](const std::string& request) {
+      if (Contains(request, "After-Event: 1\r\n")) {
+        return FakeUpstream::Reaction{.bytes = next, .close = true};
+      }
+      return FakeUpstream::Reaction{
+          .bytes =
+              "HTTP/1.1 200 x\r\nId: r1\r\nSeal: s\r\n"
+              "Content-Type: text/event-stream\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n"
+              "f\r\nid: 1\ndata: a\n\n\r\n",
+          .close = true};
+    };
+  }
+
+  GatewayFixture fleet;
+  FakeUpstream first;
+  FakeUpstream second;
+  Caller caller;
+};
+
+// Guards against the text or the head of an error in the middle of a stream,
+// and against a stream that ends as if it were complete.
+BOOST_AUTO_TEST_CASE(ErrorOfTheNextUpstreamIsNotPartOfTheStream) {
+  const std::string event_stream = "Content-Type: text/event-stream\r\n";
+  const auto response = [](const std::string& status_and_headers,
+                           const std::string& body) {
+    return "HTTP/1.1 " + status_and_headers + "Id: r1\r\nSeal: s\r\n" +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  };
+  const std::string error = "stray error\n\n";
+  for (const std::string& next :
+       {response("500 x\r\n", error), response("404 x\r\n", error),
+        response("302 x\r\n", error),
+        response("503 x\r\nNot-Run: 1\r\n", error),
+        response("500 x\r\n" + event_stream, error),
+        // A success of another kind.
+        response("200 x\r\nContent-Type: text/plain\r\n", error),
+        response("200 x\r\nContent-Type: application/json\r\n", "stray"),
+        response("204 x\r\n", ""), response("206 x\r\n" + event_stream, error),
+        // Bytes that are no response.
+        std::string("stray error\r\n\r\n"),
+        // Ends inside an event.
+        "HTTP/1.1 200 x\r\nId: r1\r\nSeal: s\r\n" + event_stream +
+            "\r\nid: 2\ndata: stray"}) {
+    BOOST_TEST_CONTEXT(next) {
+      const ContinuedStream stream(next);
+      BOOST_CHECK(Contains(stream.caller.Received(), "data: a\n\n"));
+      BOOST_CHECK(!Contains(stream.caller.Received(), "stray"));
+      BOOST_CHECK(!Contains(stream.caller.Received(), "0\r\n\r\n"));
+      BOOST_CHECK_EQUAL(stream.caller.Received().rfind("HTTP/1.1"), 0);
+    }
+  }
+}
+
+// A stream may have neither a length nor chunks and end with its connection.
+BOOST_AUTO_TEST_CASE(StreamMayEndWithItsConnection) {
+  const ContinuedStream stream(
+      "HTTP/1.1 200 x\r\nId: r1\r\nSeal: s\r\n"
+      "Content-Type: text/event-stream\r\n\r\nid: 2\ndata: b\n\n");
+  BOOST_CHECK(Contains(stream.caller.Received(), "data: b\n\n"));
+  BOOST_CHECK(Contains(stream.caller.Received(), "0\r\n\r\n"));
+}
+
+// Guards against a stream that breaks off inside an event and looks complete to
+// its caller, because its end is that of the connection.
+BOOST_AUTO_TEST_CASE(StreamThatEndsInsideAnEventIsBroken) {
+  GatewayFixture fleet;
+  FakeUpstream upstream(fleet.context, [](const std::string&) {
+    return FakeUpstream::Reaction{
+        .bytes =
+            "HTTP/1.1 200 x\r\nId: r1\r\nSeal: s\r\n\r\n"
+            "id: 1\ndata: a\n\nid: 2\ndata: stray",
+        .close = true};
+  });
+  fleet.AddUpstream("u1", upstream.Endpoint());
+  Caller caller(fleet.context, fleet.gateway->CallersPort());
+  caller.Send(GatewayFixture::Request("/talk/1"));
+  fleet.RunUntil([&] {
+    return caller.IsClosed() || Contains(caller.Received(), "0\r\n\r\n");
+  });
+  BOOST_CHECK(Contains(caller.Received(), "data: a\n\n"));
+  BOOST_CHECK(!Contains(caller.Received(), "stray"));
+  BOOST_CHECK(!Contains(caller.Received(), "0\r\n\r\n"));
+}
+
 // Guards against a truncated stream that looks complete to its caller.
 BOOST_AUTO_TEST_CASE(NonResumableStreamEndsByClosingTheConnection) {
   GatewayFixture fleet;
