--- a/Source/Core/Gateway/CrashDetector.cpp
+++ b/Source/Core/Gateway/CrashDetector.cpp
@@ -51,8 +51,9 @@
                           const auto it = broken_.find(upstream);
                           if (it == broken_.end()) return;
                           it->second.trying = false;
-                          if (ec == net::error::connection_refused)
+                          if (ec == net::error::connection_refused) {
                             OnEnded(upstream);
+                          }
                         });
 }
 
