Answer 429 to requests beyond their workspace's share

What callers saw: "service unavailable" for requests that were refused only because their own workspace asked for more than its share. The product's own interface answers 429 there (docs/interface.md, queue_full). Both say "not run" and when to come back.

Its logs: the last engine ends at 12.5 s and all are back at 15.9 s; 885 of the 893 refusals of load from 18 s to 24 s are over-share requests of this one workspace, and from 26 s on, with no more crashes, it is refused as often (1,050 of 1,654). So the refusals are those of the share and not of the crashes.

GatewayTest/RefusalBeyondTheShareNamesTheCaller: 503 before.

--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -239,8 +239,8 @@
         scheduler_client_.RecordUnoffered(call.workspace->name,
                                           *call.metadata.prompt);
       }
-      return Respond(call, kUnavailable, "overloaded",
-                     RetryAfter(call, outcome.wait));
+      return Respond(call, call.within_share ? kUnavailable : kTooManyRequests,
+                     "overloaded", RetryAfter(call, outcome.wait));
     case SearchOutcome::Kind::kNoScheduler: {
       const auto candidates = Candidates(call);
       if (candidates.empty()) {
@@ -448,7 +448,8 @@
 
 void Gateway::Respond(Call& call, int status, std::string_view reason,
                       std::optional<common::Duration> retry_after) {
-  const bool claims_not_run = status == kUnavailable;
+  const bool claims_not_run =
+      status == kUnavailable || status == kTooManyRequests;
   if (claims_not_run && call.verdict != common::Verdict::kNotRun) {
     status = kBadGateway;
     retry_after = std::nullopt;
--- a/Source/Core/Gateway/GatewayResponses.h
+++ b/Source/Core/Gateway/GatewayResponses.h
@@ -16,6 +16,7 @@
 inline constexpr int kUnauthorized = 401;
 inline constexpr int kNotFound = 404;
 inline constexpr int kUnprocessable = 422;
+inline constexpr int kTooManyRequests = 429;
 inline constexpr int kBadGateway = 502;
 inline constexpr int kUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
--- a/Source/UnitTests/Core/Gateway/GatewayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayTest.cpp
@@ -1,6 +1,10 @@
 #include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+#include <utility>
 
 #include "Core/Gateway/GatewayFixture.h"
+#include "Wire/Codec.h"
 
 namespace shallotbeam::gateway {
 
@@ -103,6 +107,53 @@
   BOOST_CHECK(upstream.Requests().empty());
 }
 
+// Guards against a workspace that is told that the fleet is unavailable,
+// although it is its own requests that exceed its share.
+BOOST_AUTO_TEST_CASE(RefusalBeyondTheShareNamesTheCaller) {
+  for (const bool beyond_share : {false, true}) {
+    GatewayFixture fleet(/*with_workspaces=*/true);
+    FakeUpstream engine(fleet.context, RespondDone);
+    catalogue::Catalogue limited = fleet.catalogue;
+    limited.version = static_cast<common::ConfigVersion>(2);
+    limited.tokens_per_second = 10;
+    limited.pools[common::PoolName("plain")] = {.engine = catalogue::Engine{}};
+    fleet.PutCatalogue(limited);
+    fleet.AddUpstream("u1", engine.Endpoint());
+    const auto receive = [&](protocol::SchedulingBody body) {
+      fleet.gateway->OnControlMessage(wire::Encode(protocol::SchedulingEnvelope{
+          .incarnation = static_cast<common::Incarnation>(9),
+          .body = std::move(body)}));
+    };
+    for (const double requested : {0.0, beyond_share ? 1e7 : 1.0}) {
+      receive(protocol::SchedulerReport{
+          .control = {.address = "127.0.0.1", .port = 8083},
+          .workspaces = {{.workspace = common::WorkspaceName("yard"),
+                          .requested = requested,
+                          .served = requested}}});
+      for (int i = 0; i < 20; ++i) fleet.Advance(kTickInterval);
+    }
+    Caller caller(fleet.context, fleet.gateway->CallersPort());
+    caller.Send(GatewayFixture::Request(
+        "/order/1", "Credential: secret\r\nParts: 1 2\r\n"));
+    std::optional<protocol::StartOffer> offer;
+    fleet.RunUntil([&] {
+      for (const std::string& it : fleet.sent_messages) {
+        const auto envelope = wire::DecodeScheduling(it);
+        const auto* found = std::get_if<protocol::StartOffer>(&envelope->body);
+        if (found != nullptr) offer = *found;
+      }
+      return offer.has_value();
+    });
+    receive(protocol::StartReply{.number = offer->number,
+                                 .decision = common::OfferDecision::kDeclined,
+                                 .wait = 2s});
+    fleet.RunUntil([&] { return Contains(caller.Received(), "\r\n\r\n"); });
+    BOOST_CHECK(Contains(caller.Received(),
+                         beyond_share ? "HTTP/1.1 429" : "HTTP/1.1 503"));
+    BOOST_CHECK(Contains(caller.Received(), "Retry-After: "));
+  }
+}
+
 // Guards against an older configuration that replaces a newer one.
 BOOST_AUTO_TEST_CASE(OlderConfigurationIsIgnored) {
   GatewayFixture fleet;
