--- a/Source/UnitTests/Core/Gateway/CrashingRequestsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/CrashingRequestsTest.cpp
@@ -197,8 +197,9 @@
   other.Receive(reports.back());
   // "deadly" does not crash this upstream.
   FakeUpstream sturdy(other.fleet.context, RespondDone);
-  for (int i = 1; i <= 6; ++i)
+  for (int i = 1; i <= 6; ++i) {
     other.fleet.RemoveUpstream(fmt::format("u{}", i));
+  }
   other.fleet.AddUpstream("sturdy", sturdy.Endpoint());
   BOOST_CHECK_EQUAL(other.Send("deadly"), "HTTP/1.1 200");
   reports = other.CrashReports();
--- a/Source/UnitTests/Core/PlatformClients/EtcdStoreTest.cpp
+++ b/Source/UnitTests/Core/PlatformClients/EtcdStoreTest.cpp
@@ -6,6 +6,7 @@
 #include "Core/PlatformClients/Await.h"
 #include "PlatformClients/EtcdStore.h"
 #include "PlatformClients/HostList.h"
+#include "absl/strings/str_cat.h"
 
 namespace shallotbeam::platform_clients {
 
@@ -141,7 +142,7 @@
         std::string(R"({"name":"h","address":"a","state":"gone"})"),
         std::string(R"({"name":"h","address":1e300,"state":"live"})"),
         std::string(R"({"name":[[[]]],"address":"a","state":"live"})")}) {
-    const HostsResult hosts = ParseHosts("[" + odd + "," + row + "]");
+    const HostsResult hosts = ParseHosts(absl::StrCat("[", odd, ",", row, "]"));
     BOOST_REQUIRE(hosts.ok());
     BOOST_REQUIRE_EQUAL(hosts->size(), 1);
     BOOST_TEST(((*hosts)[0].state == HostState::kLeaving));
@@ -149,7 +150,7 @@
   constexpr std::size_t kDepth = 400'000;
   const std::string nested =
       std::string(kDepth, '[') + std::string(kDepth, ']');
-  BOOST_TEST(!ParseHosts("[" + nested + "," + row + "]").ok());
+  BOOST_TEST(!ParseHosts(absl::StrCat("[", nested, ",", row, "]")).ok());
 }
 
 }  // namespace shallotbeam::platform_clients
--- a/Source/UnitTests/Core/Suspects/CrashEvidenceTest.cpp
+++ b/Source/UnitTests/Core/Suspects/CrashEvidenceTest.cpp
@@ -185,7 +185,7 @@
       }
       rows.push_back(row);
     }
-    const auto verdict = [&](std::vector<protocol::CrashRow> order) {
+    const auto verdict = [&](const std::vector<protocol::CrashRow>& order) {
       CrashEvidence reader;
       for (const auto& it : order) Merge(reader, clock.Now(), {it});
       std::vector<bool> banned;
--- a/Source/UnitTests/Core/Transport/HttpClientTest.cpp
+++ b/Source/UnitTests/Core/Transport/HttpClientTest.cpp
@@ -54,7 +54,8 @@
     acceptor_.async_accept([this](boost::system::error_code ec,
                                   boost::asio::ip::tcp::socket socket) {
       if (ec) return;
-      Connection& connection = connections_.emplace_back(std::move(socket));
+      connections_.push_back(Connection{.socket = std::move(socket)});
+      Connection& connection = connections_.back();
       connection.socket.async_read_some(
           boost::asio::buffer(connection.buf),
           [&connection](boost::system::error_code ec, std::size_t) {
@@ -174,7 +175,6 @@
   std::thread server([&] {
     // A connection that answers each request with the refusal, and one that
     // serves.
-    boost::system::error_code ec;
     boost::asio::ip::tcp::socket refusing = acceptor.accept();
     ReadUntil(refusing, "\r\n\r\n");
     WriteText(refusing, refusal);
--- a/Source/UnitTests/Platform/ChangePropagationTest.cpp
+++ b/Source/UnitTests/Platform/ChangePropagationTest.cpp
@@ -35,22 +35,23 @@
  public:
   TestGateway(boost::asio::io_context& context, gateway::GatewaySettings input,
               const common::Endpoint& store_endpoint,
-              std::optional<common::Endpoint> relay)
-      : settings(std::move(input)),
-        client(context, clock, gateway::ControlClientOptions()),
-        store(client, store_endpoint),
-        relayed(store, client, clock, WithRelay(settings, relay)),
-        gateway(settings, static_cast<common::Incarnation>(1),
+              const std::optional<common::Endpoint>& relay)
+      : settings_(std::move(input)),
+        client_(context, clock_, gateway::ControlClientOptions()),
+        store_(client_, store_endpoint),
+        relayed_(store_, client_, clock_, WithRelay(settings_, relay)),
+        gateway(settings_, static_cast<common::Incarnation>(1),
                 {.context = context,
-                 .clock = clock,
-                 .store = relayed,
+                 .clock = clock_,
+                 .store = relayed_,
                  .header_codec = GatewayDeployment().header_codec,
                  .decode =
                      [this](const platform_clients::ItemChange& it) {
                        return Decode(it);
                      },
                  .send = [](const common::Endpoint&, std::string_view) {}}),
-        ticker(context, gateway::kTickInterval, [this] { gateway.OnTick(); }) {}
+        ticker_(context, gateway::kTickInterval, [this] { gateway.OnTick(); }) {
+  }
 
   // When the published version was received.
   std::optional<common::TimePoint> received;
@@ -68,23 +69,23 @@
       const platform_clients::ItemChange& change) {
     if (change.item.key != "config") return std::nullopt;
     const int version = std::stoi(change.item.value);
-    if (version == kPublishedVersion && !received) received = clock.Now();
+    if (version == kPublishedVersion && !received) received = clock_.Now();
     catalogue::Catalogue catalogue;
     catalogue.version = static_cast<common::ConfigVersion>(version);
     return gateway::FleetChange{.catalogue = catalogue};
   }
 
-  const common::BootClock clock;
-  const gateway::GatewaySettings settings;
-  transport::HttpClient client;
-  StoreClient store;
-  platform_clients::RelayedStore relayed;
+  const common::BootClock clock_;
+  const gateway::GatewaySettings settings_;
+  transport::HttpClient client_;
+  StoreClient store_;
+  platform_clients::RelayedStore relayed_;
 
  public:
   gateway::Gateway gateway;
 
  private:
-  const runtime::Ticker ticker;
+  const runtime::Ticker ticker_;
 };
 
 gateway::GatewaySettings Settings(const Limits& limits, const std::string& name,
