Keep copies young enough for credentials where changes may take long

Found when reading the change: with a configuration limit above 4.9 s, polls of the store waited for longer than a copy may be used for credentials, so that callers would have been refused in calm times.

ChangeTimingTest failed before: poll_wait + 100 ms < 3.9 s does not hold.

--- a/Source/Core/PlatformClients/ChangeTiming.cpp
+++ b/Source/Core/PlatformClients/ChangeTiming.cpp
@@ -22,7 +22,9 @@
 constexpr milliseconds kRelayWaitMargin{100};
 // The response of the store and its processing make the copy older than that.
 constexpr milliseconds kRelayAgeMargin{400};
-// A copy may be used for credentials only while it is young.
+// A copy may be used for credentials only while it is young, however long other
+// changes may take.
+constexpr milliseconds kMaxWait{3'200};
 constexpr milliseconds kMaxRelayedWait{2'000};
 constexpr milliseconds kMinWait{200};
 
@@ -31,7 +33,8 @@
 ChangeTiming TimingFor(milliseconds limit) {
   const milliseconds relay_delay = std::clamp(limit * kRelayDelayTenths / 10,
                                               kMinRelayDelay, kMaxRelayDelay);
-  const milliseconds poll_wait = std::max(limit - kStoreMargin, kMinWait);
+  const milliseconds poll_wait =
+      std::clamp(limit - kStoreMargin, kMinWait, kMaxWait);
   return {.poll_wait = poll_wait,
           .max_change_delay = poll_wait,
           .relay_poll_wait = relay_delay + kRelayWaitMargin,
--- a/Source/UnitTests/Core/PlatformClients/ChangeTimingTest.cpp
+++ b/Source/UnitTests/Core/PlatformClients/ChangeTimingTest.cpp
@@ -34,6 +34,11 @@
     constexpr milliseconds kStoreTimeout{700};
     RC_ASSERT(timing.poll_wait + kStoreTimeout + kCall < limit);
     RC_ASSERT(timing.relay_poll_wait >= timing.relay_max_change_delay);
+    // Credentials are refused by a copy that is older.
+    constexpr milliseconds kMaxAge{3'900};
+    RC_ASSERT(timing.poll_wait + kCall < kMaxAge);
+    RC_ASSERT(timing.relay_max_age + timing.relayed_poll_wait + kCall <
+              kMaxAge);
   });
 }
 
