--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -6,8 +6,8 @@
 #include "Gateway/Gateway.h"
 #include "Gateway/GatewayResponses.h"
 
-// The part of Gateway that dispatches calls to upstreams and handles the outcomes
-// of attempts.
+// The part of Gateway that dispatches calls to upstreams and handles the
+// outcomes of attempts.
 namespace shallotbeam::gateway {
 
 namespace {
