Decode and log what upstreams state of themselves in their responses

Change: ResponseMetadata has the three statements; gateways log each change and count it. No decision uses them yet.

--- a/Source/Core/Forwarding/HeaderCodec.h
+++ b/Source/Core/Forwarding/HeaderCodec.h
@@ -27,6 +27,19 @@
   std::string last_event_id;  // resume point of a stream; or empty
 };
 
+// What an upstream states of itself in a response, whatever became of the
+// request.
+struct UpstreamStatements {
+  // Requests a second that it takes from all hosts together.
+  std::optional<double> rate_limit;
+  bool leaving = false;
+  // It wants no requests from this process for so long.
+  std::optional<common::Duration> retry_after;
+
+  friend bool operator==(const UpstreamStatements&,
+                         const UpstreamStatements&) = default;
+};
+
 struct ResponseMetadata {
   std::string request_id;  // empty if the upstream did not echo it
   bool not_run = false;    // the upstream states that the request did not run
@@ -34,6 +47,7 @@
   // meant for this one.
   bool other_incarnation = false;
   bool has_digest = false;  // the response has the upstream's digest
+  UpstreamStatements stated;
 };
 
 // Values of the headers that a gateway adds to a forwarded request.
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -134,8 +134,7 @@
     Log(Subsystem::kMembership, LogLevel::kInfo,
         "event=upstream_gone upstream={} cause=entry_did_not_return",
         name.value);
-    upstream_connections_.CloseIdle(name);
-    balancing::ForgetUpstream(ejections_, name);
+    ForgetUpstream(name);
     scheduler_client_.RemoveEngine(name);
   }
   scheduler_client_.OnTick([this] { return StartsInProgress(); });
@@ -305,8 +304,7 @@
       change.entry && change.entry->draining);
   if (result == balancing::UpstreamChange::kRemoved ||
       result == balancing::UpstreamChange::kRestarted) {
-    upstream_connections_.CloseIdle(change.upstream);
-    balancing::ForgetUpstream(ejections_, change.upstream);
+    ForgetUpstream(change.upstream);
     crash_detector_.OnEnded(change.upstream);
   }
   if (change.entry) {
@@ -318,6 +316,12 @@
   UpdateEngine(change.upstream);
 }
 
+void Gateway::ForgetUpstream(const common::UpstreamName& name) {
+  upstream_connections_.CloseIdle(name);
+  balancing::ForgetUpstream(ejections_, name);
+  stated_.erase(name);
+}
+
 void Gateway::UpdateEngine(const common::UpstreamName& name) {
   const auto it = upstreams_.upstreams.find(name);
   if (it == upstreams_.upstreams.end() || !balancing::AcceptsWork(it->second)) {
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -96,6 +96,9 @@
       const common::UpstreamName& upstream,
       const std::shared_ptr<forwarding::UpstreamConnection>& connection);
   void OnProgress(Call& call);
+  // Handles what the upstream of the call's attempt states of itself.
+  void OnStatements(const Call& call,
+                    const forwarding::UpstreamStatements& stated);
   common::TimePoint Now() const { return environment_.clock.Now(); }
   const forwarding::HeaderCodec& Codec() const {
     return environment_.header_codec;
@@ -118,6 +121,8 @@
   // Whether other gateways need the change. Upstreams renew their entries about
   // once a second, mostly without a change of their state.
   bool IsRelayed(const FleetChange& change) const;
+  // Forgets what was known of an incarnation of an upstream that has ended.
+  void ForgetUpstream(const common::UpstreamName& name);
   // Registers the engine of an upstream with the scheduler client while the
   // upstream accepts requests, and removes it otherwise.
   void UpdateEngine(const common::UpstreamName& name);
@@ -203,6 +208,9 @@
   CrashDetector crash_detector_;
   suspects::CrashEvidence crash_evidence_;
   suspects::CrashRowQueue crash_rows_;  // of this gateway's own requests
+  // Latest statements of upstreams that stated anything.
+  std::unordered_map<common::UpstreamName, forwarding::UpstreamStatements>
+      stated_;
   // Requests of this gateway in flight, by upstream.
   std::unordered_map<common::UpstreamName, int> in_flight_;
   SchedulerClient scheduler_client_;
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -40,6 +40,10 @@
                      .Name("shallotbeam_gateway_ejections_total")
                      .Help("Ejections of upstreams that failed requests")
                      .Register(*registry_)),
+      statements_(BuildCounter()
+                      .Name("shallotbeam_gateway_statements_total")
+                      .Help("Changes of what upstreams state of themselves")
+                      .Register(*registry_)),
       first_event_latency_(
           BuildHistogram()
               .Name("shallotbeam_gateway_first_event_seconds")
@@ -79,6 +83,8 @@
 
 void GatewayMetrics::CountEjection() { ejections_.Add({}).Increment(); }
 
+void GatewayMetrics::CountStatement() { statements_.Add({}).Increment(); }
+
 std::string GatewayMetrics::Text(const GatewayGauges& gauges) {
   const auto set = [this](const char* item, double value) {
     runtime::SetGaugeItem(gauges_, item, value);
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -48,6 +48,8 @@
   void CountFailedAttempt(std::string_view end);
   void CountCallerDisconnected();
   void CountEjection();
+  // An upstream stated something of itself that it had not stated before.
+  void CountStatement();
 
   // All metrics in the Prometheus text format.
   std::string Text(const GatewayGauges& gauges);
@@ -58,6 +60,7 @@
   prometheus::Family<prometheus::Counter>& failed_attempts_;
   prometheus::Family<prometheus::Counter>& disconnected_callers_;
   prometheus::Family<prometheus::Counter>& ejections_;
+  prometheus::Family<prometheus::Counter>& statements_;
   prometheus::Family<prometheus::Histogram>& first_event_latency_;
   prometheus::Family<prometheus::Histogram>& request_latency_;
   prometheus::Family<prometheus::Gauge>& gauges_;
--- a/Source/UnitTests/Platform/StoreItemsTest.cpp
+++ b/Source/UnitTests/Platform/StoreItemsTest.cpp
@@ -210,6 +210,29 @@
   BOOST_CHECK(kHeaderCodec.is_forwarded("Prefix-Hash"));
 }
 
+// Guards against statements of an upstream that are missed, and against
+// malformed ones that are taken for statements.
+BOOST_AUTO_TEST_CASE(StatementsOfUpstreamsAreDecoded) {
+  const auto stated = [](int status, const char* name, const char* value) {
+    forwarding::Fields fields;
+    fields.insert(name, value);
+    return kHeaderCodec.decode_response(status, fields).stated;
+  };
+  BOOST_CHECK(stated(200, "Server-Limit", "11.4").rate_limit == 11.4);
+  BOOST_CHECK(stated(503, "server-limit", "0").rate_limit == 0.0);
+  for (const char* it : {"", "many", "-1", "nan", "inf", "7 or so"}) {
+    BOOST_CHECK(!stated(200, "Server-Limit", it).rate_limit);
+    BOOST_CHECK(!stated(503, "Retry-After", it).retry_after);
+  }
+  BOOST_CHECK(stated(200, "Server-Leaving", "1").leaving);
+  BOOST_CHECK(!stated(200, "Server-Leaving", "0").leaving);
+  BOOST_CHECK(stated(503, "Retry-After", "1.5").retry_after ==
+              common::Duration(1500ms));
+  BOOST_CHECK(!stated(500, "Retry-After", "1.5").retry_after);
+  BOOST_CHECK(stated(503, "Retry-After", "1e300").retry_after ==
+              common::Duration(60s));
+}
+
 // Guards against a "not run" outcome that the upstream has not stated.
 BOOST_AUTO_TEST_CASE(NotRunNeedsAnExplicitResponse) {
   forwarding::Fields fields;
