Keep requests to an upstream within the limit that it states

Cause: nothing read what an upstream states of itself in its responses. Slots, memory and prefill, which schedulers do keep, are no rate of requests.

Ruled out: an equal part of the limit for each gateway (7 a second over 53 gateways is one start each 7.6 s, and 53 at once in the first); few gateways for such an upstream (nobody knows which are alive); leases in the store (away when it is needed, and a write for each change).

Change: the starts are handed out at fixed places, each with a fixed part of the limit, so that the sum holds whoever is alive or cut off. The scheduler beside an engine paces its starts and reads the limit from the engine's own reports and from gateways. Other upstreams have two permit desks, schedulers by rendezvous hashing, or relays in a fleet without engines. While none answers, gateways use 5% together, in windows of their own, by which they learn that the limit ended. All processes exchange statements, which merge by the times between which they were made; a response to a request from before a statement does not end it.

--- a/Source/Core/Balancing/PlacementSearch.cpp
+++ b/Source/Core/Balancing/PlacementSearch.cpp
@@ -7,6 +7,15 @@
 
 namespace {
 
+// Whether the engine states a limit of requests a second that is used up for
+// now.
+bool IsUsedUp(const PlacementState& state,
+              const common::UpstreamName& upstream) {
+  return state.limited.count(upstream) != 0 &&
+         state.schedulers.at(upstream).expected_wait >
+             state.options.tolerated_wait;
+}
+
 // Returns the engine to offer the request to next, or null if none is left: the
 // one with the shortest expected wait among the first `max_offers` responsive
 // candidates, after a penalty for each position further down the list.
@@ -21,7 +30,7 @@
     if (position == state.options.max_offers) break;
     const common::Duration wait = state.schedulers.at(it).expected_wait +
                                   position * state.options.away_penalty;
-    ++position;
+    if (!IsUsedUp(state, it)) ++position;
     const bool offered = std::find(search.offered.begin(), search.offered.end(),
                                    it) != search.offered.end();
     if (offered || (best != nullptr && wait >= best_wait)) continue;
@@ -74,6 +83,7 @@
     if (!IsResponsive(state, now, it)) continue;
     const common::Duration wait = state.schedulers.at(it).over_share_wait;
     shortest = shortest ? std::min(*shortest, wait) : wait;
+    if (IsUsedUp(state, it)) continue;
     if (++considered == state.options.max_offers) break;
   }
   return shortest;
--- a/Source/Core/Balancing/PlacementSearch.h
+++ b/Source/Core/Balancing/PlacementSearch.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -46,7 +47,8 @@
   // A request that would wait longer than this is offered to further engines.
   common::Duration tolerated_wait = std::chrono::milliseconds(30);
   // Maximum number of offers of one request. Only this many responsive
-  // candidates, from the front of the list, are considered.
+  // candidates, from the front of the list, are considered, without those whose
+  // stated limit of requests a second is used up.
   int max_offers = 2;
 };
 
@@ -121,6 +123,8 @@
   std::map<SearchId, Search> searches;
   std::map<OfferNumber, OfferState> offers;  // open offers of all searches
   OfferNumber last_number = 0;
+  // Upstreams that state a limit of requests a second.
+  std::unordered_set<common::UpstreamName> limited;
 };
 
 struct SendOffer {
--- a/Source/Core/Gateway/Call.cpp
+++ b/Source/Core/Gateway/Call.cpp
@@ -125,7 +125,7 @@
 void Call::OnUpstreamHead(forwarding::UpstreamResponse response) {
   response_ = std::move(response);
   have_head_ = true;
-  gateway.OnStatements(*this, response_.metadata.stated);
+  gateway.OnStatements(*this, response_.metadata);
   const bool success = IsSuccess(response_.status);
   const bool encoded =
       response_.fields.count(http::field::content_encoding) != 0;
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -16,6 +16,7 @@
 #include "Forwarding/EventScanner.h"
 #include "Forwarding/UpstreamConnection.h"
 #include "Gateway/SchedulerClient.h"
+#include "Pacing/PermitSearch.h"
 #include "Protocol/SchedulingMessages.h"
 
 namespace shallotbeam::gateway {
@@ -91,6 +92,11 @@
   // request; if there is one.
   std::optional<balancing::SearchId> search;
   StartGrant grant;  // of the current attempt
+  // Running search for a permit to start the request at `permit_upstream`.
+  std::optional<pacing::PermitId> permit;
+  common::UpstreamName permit_upstream;
+  // Whether the call has no other upstream if the permit is denied.
+  bool is_last_permit = false;
   // Preferred engine, which is expected to cache the shared prefix of the
   // prompt; or empty.
   common::UpstreamName preferred_engine;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -68,12 +68,26 @@
           {.name = settings_.name,
            .incarnation = incarnation,
            .control = settings_.control,
+           .relays = ControlAddresses(settings_),
            .search = {.away_penalty = settings_.away_penalty,
                       .tolerated_wait = settings_.tolerated_wait,
                       .max_offers = settings_.max_offers}},
           environment_.clock, environment_.send,
-          [this](const SearchOutcome& it) { OnSearchOutcome(it); },
-          [this](const protocol::CrashReport& it) { OnCrashReport(it); }),
+          {.on_outcome =
+               [this](const SearchOutcome& it) { OnSearchOutcome(it); },
+           .on_crash_report =
+               [this](const protocol::CrashReport& it) { OnCrashReport(it); },
+           .on_limit_report =
+               [this](const protocol::LimitReport& it) { OnLimitReport(it); },
+           .on_permit_request =
+               [this](common::Incarnation gateway,
+                      const protocol::PermitRequest& it) {
+                 OnPermitRequest(gateway, it);
+               },
+           .on_permit_reply =
+               [this](const protocol::PermitReply& it) { OnPermitReply(it); }}),
+      permits_{.options = {.gateway = settings_.name}},
+      started_(environment_.clock.Now()),
       random_(std::random_device()()) {
   if (IsRelay(settings_)) {
     change_relay_.emplace(
@@ -138,6 +152,7 @@
     scheduler_client_.RemoveEngine(name);
   }
   scheduler_client_.OnTick([this] { return StartsInProgress(); });
+  OnPermitTick();
   ExchangeCrashReports();
   if (change_relay_) change_relay_->OnTick();
   CheckDeadlines();
@@ -145,6 +160,7 @@
   next_check_ = now + kConnectionCheckInterval;
   LogLoad(now);
   suspects::Expire(crash_evidence_, now);
+  pacing::Expire(permit_desk_, now);
   caller_server_.CheckTimeouts(now);
   upstream_connections_.CloseExpired(now);
 }
@@ -320,6 +336,9 @@
   upstream_connections_.CloseIdle(name);
   balancing::ForgetUpstream(ejections_, name);
   stated_.erase(name);
+  stated_limits_.limits.erase(name);
+  scheduler_client_.SetLimited(name, false);
+  pacing::ForgetUpstream(permits_, name);
 }
 
 void Gateway::UpdateEngine(const common::UpstreamName& name) {
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -26,6 +26,9 @@
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/SchedulerClient.h"
 #include "Overload/LoadShedder.h"
+#include "Pacing/PermitDesk.h"
+#include "Pacing/PermitSearch.h"
+#include "Pacing/StatedLimits.h"
 #include "PlatformClients/StoreSession.h"
 #include "Suspects/CrashEvidence.h"
 
@@ -98,7 +101,7 @@
   void OnProgress(Call& call);
   // Handles what the upstream of the call's attempt states of itself.
   void OnStatements(const Call& call,
-                    const forwarding::UpstreamStatements& stated);
+                    const forwarding::ResponseMetadata& response);
   common::TimePoint Now() const { return environment_.clock.Now(); }
   const forwarding::HeaderCodec& Codec() const {
     return environment_.header_codec;
@@ -142,6 +145,33 @@
   void OnCrashReport(const protocol::CrashReport& report);
   void ExchangeCrashReports();
 
+  // Records the limit of requests a second that an upstream states.
+  void RecordLimit(const common::UpstreamName& name,
+                   const pacing::StatedLimit& limit);
+  void RecordLimitRow(const protocol::LimitRow& row);
+  void OnLimitReport(const protocol::LimitReport& report);
+  // Tells schedulers of the limits of their engines.
+  void SendLimits();
+  void OnPermitRequest(common::Incarnation gateway,
+                       const protocol::PermitRequest& request);
+  void OnPermitReply(const protocol::PermitReply& reply);
+  void OnPermitTick();
+  // Ends the call's search for a permit; null if the call has ended.
+  Call* TakePermitCall(pacing::PermitId id);
+  void Execute(const pacing::PermitActions& actions);
+  void Execute(const pacing::AskDesk& action);
+  void Execute(const pacing::PermitGranted& action);
+  void Execute(const pacing::PermitDenied& action);
+  // Sends a call to an upstream without a scheduler; asks for a permit first if
+  // the upstream states a limit.
+  void DispatchToService(
+      Call& call, const std::vector<const common::UpstreamName*>& candidates);
+  // Time for which the call may wait for a permit.
+  common::Duration MaxPermitWait(const Call& call) const;
+  // Engines that may get a request without a start of their scheduler.
+  std::vector<const common::UpstreamName*> EnginesWithinLimits(
+      std::vector<const common::UpstreamName*> candidates) const;
+
   void Route(Call& call);
   // Sends the call to an upstream, starts a placement search, or responds with
   // an error.
@@ -214,6 +244,14 @@
   // Requests of this gateway in flight, by upstream.
   std::unordered_map<common::UpstreamName, int> in_flight_;
   SchedulerClient scheduler_client_;
+  // Limits that upstreams state, and the permits to start requests there.
+  pacing::LimitTable stated_limits_;
+  pacing::PermitSearch permits_;
+  // Used if this gateway is a permit desk of others.
+  pacing::PermitDesk permit_desk_;
+  std::unordered_map<pacing::PermitId, Call*> permit_calls_;
+  std::uint64_t last_permit_ = 0;
+  common::TimePoint next_limit_report_;
   std::unordered_map<Call*, std::unique_ptr<Call>> calls_;
   std::unordered_map<balancing::SearchId, Call*> searches_;
   std::uint64_t last_search_id_ = 0;
@@ -221,6 +259,7 @@
   std::unordered_map<common::PoolName, common::RetryBudget> retry_budgets_;
   overload::LoadShedder load_shedder_;
   GatewayMetrics metrics_;
+  const common::TimePoint started_;
   common::TimePoint last_tick_;
   std::mt19937_64 random_;
   std::optional<common::TimePoint> draining_since_;
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -161,7 +161,7 @@
   if (candidates.empty()) {
     return Respond(call, kUnavailable, "no_upstream", kDefaultRetryAfter);
   }
-  if (!call.metadata.prompt) return SendTo(call, *LeastLoaded(candidates), {});
+  if (!call.metadata.prompt) return DispatchToService(call, candidates);
   const auto ranked = balancing::RankByPrefix(
       common::SharedPrefixKey(*call.metadata.prompt), candidates);
   const balancing::EnginePartition weighted_pools =
@@ -243,7 +243,11 @@
       if (candidates.empty()) {
         return Respond(call, kUnavailable, "no_upstream", kDefaultRetryAfter);
       }
-      return SendWithoutScheduler(call, candidates);
+      const auto within_limits = EnginesWithinLimits(candidates);
+      if (within_limits.empty()) {
+        return Respond(call, kUnavailable, "rate_limited", kDefaultRetryAfter);
+      }
+      return SendWithoutScheduler(call, within_limits);
     }
   }
 }
@@ -258,6 +262,9 @@
   loads.reserve(group.size());
   for (const auto* it : group) loads.push_back(in_flight_[*it]);
   const auto* name = balancing::PickWithBoundedLoad(group, loads);
+  if (const auto limit = pacing::LimitOf(stated_limits_, *name)) {
+    pacing::TakeOwnStart(permits_, Now(), *name, *limit);
+  }
   SendTo(
       call, *name,
       {.cache_source = call.preferred_engine == *name ? common::UpstreamName()
@@ -439,6 +446,10 @@
     searches_.erase(*call.search);
     scheduler_client_.Cancel(*call.search);
   }
+  if (call.permit) {
+    permit_calls_.erase(*call.permit);
+    pacing::CancelPermit(permits_, *call.permit);
+  }
   removed_calls_.push_back(std::move(it->second));
   calls_.erase(it);
 }
--- a/Source/Core/Gateway/GatewayProcess.cpp
+++ b/Source/Core/Gateway/GatewayProcess.cpp
@@ -69,11 +69,7 @@
       .poll_wait = timing.relayed_poll_wait,
       .response_timeout = timing.relay_response_timeout};
   // A relay polls the store itself.
-  if (IsRelay(settings)) return options;
-  for (const common::Endpoint& it : settings.relays) {
-    options.relays.push_back(
-        {.address = it.address, .port = settings.control.port});
-  }
+  if (!IsRelay(settings)) options.relays = ControlAddresses(settings);
   return options;
 }
 
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -21,6 +21,15 @@
                      });
 }
 
+std::vector<common::Endpoint> ControlAddresses(
+    const GatewaySettings& settings) {
+  std::vector<common::Endpoint> addresses;
+  for (const common::Endpoint& it : settings.relays) {
+    addresses.push_back({.address = it.address, .port = settings.control.port});
+  }
+  return addresses;
+}
+
 std::chrono::milliseconds ChangeLimit(const GatewaySettings& settings) {
   return std::min(settings.config_limit, settings.drain_limit);
 }
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -44,6 +44,9 @@
 // Whether this gateway is one of the relays.
 bool IsRelay(const GatewaySettings& settings);
 
+// Addresses of the relays for control messages.
+std::vector<common::Endpoint> ControlAddresses(const GatewaySettings& settings);
+
 // Time within which every change of the store must take effect.
 std::chrono::milliseconds ChangeLimit(const GatewaySettings& settings);
 
--- a/Source/Core/Gateway/SchedulerClient.cpp
+++ b/Source/Core/Gateway/SchedulerClient.cpp
@@ -7,6 +7,7 @@
 #include "Common/Hash.h"
 #include "Common/Logging.h"
 #include "Common/StatusText.h"
+#include "Pacing/StartPacer.h"
 #include "Wire/Codec.h"
 
 namespace shallotbeam::gateway {
@@ -29,13 +30,11 @@
 
 SchedulerClient::SchedulerClient(SchedulerClientOptions options,
                                  const common::Clock& clock, Send send,
-                                 OutcomeHandler on_outcome,
-                                 CrashReportHandler on_crash_report)
+                                 SchedulerClientHandlers handlers)
     : options_(std::move(options)),
       clock_(clock),
       send_(std::move(send)),
-      on_outcome_(std::move(on_outcome)),
-      on_crash_report_(std::move(on_crash_report)),
+      handlers_(std::move(handlers)),
       placement_state_{.options = options_.search} {}
 
 void SchedulerClient::PutEngine(const common::UpstreamName& upstream,
@@ -58,6 +57,7 @@
     upstream_by_control_.erase(control);
   }
   engines_.erase(it);
+  placement_state_.limited.erase(upstream);
   balancing::SearchActions actions;
   balancing::OnUpstreamLeaving(placement_state_, clock_.Now(), upstream,
                                &actions);
@@ -106,7 +106,16 @@
     Handle(*reply);
   } else if (const auto* crashes =
                  std::get_if<protocol::CrashReport>(&envelope->body)) {
-    on_crash_report_(*crashes);
+    handlers_.on_crash_report(*crashes);
+  } else if (const auto* limits =
+                 std::get_if<protocol::LimitReport>(&envelope->body)) {
+    handlers_.on_limit_report(*limits);
+  } else if (const auto* request =
+                 std::get_if<protocol::PermitRequest>(&envelope->body)) {
+    handlers_.on_permit_request(envelope->incarnation, *request);
+  } else if (const auto* permit =
+                 std::get_if<protocol::PermitReply>(&envelope->body)) {
+    handlers_.on_permit_reply(*permit);
   } else {
     Log(Subsystem::kTransport, LogLevel::kWarning,
         "event=message_misdirected sender={}", envelope->sender.value);
@@ -190,6 +199,34 @@
   for (const auto* it : names) SendTo(*it, report);
 }
 
+void SchedulerClient::SetLimited(const common::UpstreamName& upstream,
+                                 bool limited) {
+  if (limited) {
+    placement_state_.limited.insert(upstream);
+  } else {
+    placement_state_.limited.erase(upstream);
+  }
+}
+
+void SchedulerClient::SendLimit(const protocol::LimitRow& row) {
+  SendTo(row.upstream, protocol::LimitReport{.rows = {row}});
+}
+
+std::vector<common::Endpoint> SchedulerClient::PermitDesks(
+    const common::UpstreamName& upstream) const {
+  std::vector<common::Endpoint> desks;
+  for (const auto& [name, it] : engines_) desks.push_back(it.control);
+  if (desks.empty()) desks = options_.relays;
+  const auto rank = [&upstream](const common::Endpoint& it) {
+    return common::Hash64(upstream.value + " " + common::ToString(it));
+  };
+  std::sort(desks.begin(), desks.end(), [&rank](const auto& a, const auto& b) {
+    return rank(a) < rank(b);
+  });
+  if (desks.size() > pacing::kDeskCount) desks.resize(pacing::kDeskCount);
+  return desks;
+}
+
 void SchedulerClient::SendReports(const InProgress& in_progress) {
   for (const auto& [upstream, it] : engines_) {
     const auto numbers = in_progress.find(upstream);
@@ -255,34 +292,38 @@
            protocol::StartedElsewhere{.prefix_key = action.prefix_key,
                                       .upstream = action.upstream});
   }
-  on_outcome_({.search = action.search,
-               .kind = SearchOutcome::Kind::kGranted,
-               .grant = {.upstream = action.upstream,
-                         .number = action.number,
-                         .cached_tokens = action.cached_tokens,
-                         .cache_source = action.cache_source}});
+  handlers_.on_outcome({.search = action.search,
+                        .kind = SearchOutcome::Kind::kGranted,
+                        .grant = {.upstream = action.upstream,
+                                  .number = action.number,
+                                  .cached_tokens = action.cached_tokens,
+                                  .cache_source = action.cache_source}});
 }
 
 void SchedulerClient::Execute(const balancing::SearchRejected& action) {
-  on_outcome_({.search = action.search,
-               .kind = SearchOutcome::Kind::kDeclined,
-               .wait = action.shortest_wait,
-               .offered = action.offered});
+  handlers_.on_outcome({.search = action.search,
+                        .kind = SearchOutcome::Kind::kDeclined,
+                        .wait = action.shortest_wait,
+                        .offered = action.offered});
 }
 
 void SchedulerClient::Execute(const balancing::NoReachableScheduler& action) {
-  on_outcome_(
+  handlers_.on_outcome(
       {.search = action.search, .kind = SearchOutcome::Kind::kNoScheduler});
 }
 
 void SchedulerClient::SendTo(const common::UpstreamName& upstream,
                              protocol::SchedulingBody body) {
   const auto it = engines_.find(upstream);
-  if (it == engines_.end()) return;
-  send_(it->second.control, wire::Encode(protocol::SchedulingEnvelope{
-                                .sender = options_.name,
-                                .incarnation = options_.incarnation,
-                                .body = std::move(body)}));
+  if (it != engines_.end()) SendToPeer(it->second.control, std::move(body));
+}
+
+void SchedulerClient::SendToPeer(const common::Endpoint& peer,
+                                 protocol::SchedulingBody body) {
+  send_(peer, wire::Encode(protocol::SchedulingEnvelope{
+                  .sender = options_.name,
+                  .incarnation = options_.incarnation,
+                  .body = std::move(body)}));
 }
 
 }  // namespace shallotbeam::gateway
--- a/Source/Core/Gateway/SchedulerClient.h
+++ b/Source/Core/Gateway/SchedulerClient.h
@@ -38,19 +38,28 @@
   common::Incarnation incarnation = common::Incarnation::kNone;
   // Inbox of this gateway; schedulers listen on the same port.
   common::Endpoint control;
+  // Gateways that are permit desks in a fleet without schedulers.
+  std::vector<common::Endpoint> relays;
   balancing::PlacementSearchOptions search;
 };
 
+struct SchedulerClientHandlers {
+  std::function<void(const SearchOutcome&)> on_outcome;
+  std::function<void(const protocol::CrashReport&)> on_crash_report;
+  std::function<void(const protocol::LimitReport&)> on_limit_report;
+  std::function<void(common::Incarnation gateway,
+                     const protocol::PermitRequest&)>
+      on_permit_request;
+  std::function<void(const protocol::PermitReply&)> on_permit_reply;
+};
+
 // Exchanges messages with the schedulers of all engines. Used by one thread.
 class SchedulerClient {
  public:
   using Send = std::function<void(const common::Endpoint&, std::string_view)>;
-  using OutcomeHandler = std::function<void(const SearchOutcome&)>;
-  using CrashReportHandler = std::function<void(const protocol::CrashReport&)>;
 
   SchedulerClient(SchedulerClientOptions options, const common::Clock& clock,
-                  Send send, OutcomeHandler on_outcome,
-                  CrashReportHandler on_crash_report);
+                  Send send, SchedulerClientHandlers handlers);
 
   // Adds or removes an engine. `address` is the address of the engine; its
   // scheduler runs on the same host.
@@ -86,6 +95,15 @@
   void ReportProgress(const StartGrant& grant, protocol::StartStage stage);
   // Sends the report to a few schedulers, which pass it on to all gateways.
   void SendCrashReport(const protocol::CrashReport& report);
+  // Marks an engine that states a limit of requests a second.
+  void SetLimited(const common::UpstreamName& upstream, bool limited);
+  // Tells the scheduler of an engine what this gateway knows of its limit.
+  void SendLimit(const protocol::LimitRow& row);
+  // Processes that may serve as permit desks of the upstream; the same at all
+  // gateways that know the same engines.
+  std::vector<common::Endpoint> PermitDesks(
+      const common::UpstreamName& upstream) const;
+  void SendToPeer(const common::Endpoint& peer, protocol::SchedulingBody body);
   // Offer numbers of the requests in progress, by upstream.
   using InProgress =
       std::unordered_map<common::UpstreamName, std::vector<std::uint64_t>>;
@@ -117,8 +135,7 @@
   SchedulerClientOptions options_;
   const common::Clock& clock_;
   Send send_;
-  OutcomeHandler on_outcome_;
-  CrashReportHandler on_crash_report_;
+  SchedulerClientHandlers handlers_;
   balancing::PlacementState placement_state_;
   balancing::ServiceAccounting accounting_;
   std::unordered_map<common::UpstreamName, Engine> engines_;
--- a/Source/Core/Protocol/SchedulingMessages.h
+++ b/Source/Core/Protocol/SchedulingMessages.h
@@ -152,9 +152,49 @@
   std::vector<CrashRow> rows;
 };
 
+// What a process knows of the limit that an upstream states: the requests a
+// second that it takes from all hosts together.
+struct LimitRow {
+  common::UpstreamName upstream;
+  std::uint64_t started = 0;  // its incarnation
+  bool limited = false;       // false: it states no limit any more
+  double per_second = 0;      // if limited
+  // Ages of the request whose response stated it, and of that response.
+  std::chrono::microseconds sent_age{0};
+  std::chrono::microseconds received_age{0};
+};
+
+// Sent by a scheduler to all gateways with its reports, and by a gateway to the
+// scheduler of an engine, while an upstream has a limit and shortly after.
+struct LimitReport {
+  std::vector<LimitRow> rows;
+  // Gateways that the sender hears from; 0 if it does not know all of them yet.
+  std::uint32_t gateways = 0;
+};
+
+// Asks a permit desk for the permission to start a request at an upstream with
+// a limit.
+struct PermitRequest {
+  std::uint64_t number = 0;  // unique within a gateway's incarnation
+  common::Endpoint control;  // address for the reply
+  LimitRow limit;
+  std::chrono::microseconds max_wait{0};  // longest wait for the start
+};
+
+struct PermitReply {
+  std::uint64_t number = 0;
+  bool granted = false;
+  // Until the start, if granted; else until one may be granted.
+  std::chrono::microseconds wait{0};
+  LimitRow limit;  // as the desk knows it
+  // Gateways that the desk hears from; 0 if it does not know all of them yet.
+  std::uint32_t gateways = 0;
+};
+
 using SchedulingBody =
     std::variant<GatewayReport, SchedulerReport, StartOffer, StartReply,
-                 StartProgress, StartedElsewhere, CrashReport>;
+                 StartProgress, StartedElsewhere, CrashReport, LimitReport,
+                 PermitRequest, PermitReply>;
 
 struct SchedulingEnvelope {
   common::ProcessName sender;
--- a/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
@@ -27,13 +27,21 @@
                                  SchedulerEnvironment environment)
     : settings_(std::move(settings)),
       incarnation_(incarnation),
-      environment_(std::move(environment)) {
+      environment_(std::move(environment)),
+      started_(environment_.clock.Now()) {
   constexpr double kPercent = 100;
   scheduler_.options.prefill_ahead = settings_.prefill_ahead;
   scheduler_.prefill_share.share = settings_.prefill_share_percent / kPercent;
   scheduler_.options.memory_share = settings_.memory_share_percent / kPercent;
 }
 
+template <typename Other>
+void SchedulerDriver::HandleMessage(const protocol::SchedulingEnvelope& from,
+                                    const Other& /*message*/) {
+  Log(Subsystem::kTransport, LogLevel::kWarning,
+      "event=message_misdirected sender={}", from.sender.value);
+}
+
 void SchedulerDriver::OnControlMessage(std::string_view bytes) {
   const auto envelope = wire::DecodeScheduling(bytes);
   if (!envelope.ok()) {
@@ -87,6 +95,9 @@
       gateway_report.upstream.value, gateway_report.upstream_started,
       gateway_report.slots);
   if (!upstream_.empty()) scheduling::ResetEngine(scheduler_);
+  // The next report of the engine states its limit again.
+  permit_desk_.limits.limits.erase(upstream_);
+  scheduling::SetRateLimit(scheduler_, now, std::nullopt);
   upstream_ = gateway_report.upstream;
   upstream_started_ = gateway_report.upstream_started;
   return true;
@@ -173,19 +184,6 @@
   for (const auto& [incarnation, it] : gateways_) Send(it.control, report);
 }
 
-void SchedulerDriver::HandleMessage(
-    const protocol::SchedulingEnvelope& from,
-    const protocol::SchedulerReport& /*load_report*/) {
-  Log(Subsystem::kTransport, LogLevel::kWarning,
-      "event=message_misdirected sender={}", from.sender.value);
-}
-
-void SchedulerDriver::HandleMessage(const protocol::SchedulingEnvelope& from,
-                                    const protocol::StartReply& /*reply*/) {
-  Log(Subsystem::kTransport, LogLevel::kWarning,
-      "event=message_misdirected sender={}", from.sender.value);
-}
-
 void SchedulerDriver::OnReport(const scheduling::EngineReport& report) {
   int prefilling = 0;
   double tokens = 0;
@@ -227,6 +225,7 @@
   if (now < next_metrics_update_) return;
   next_metrics_update_ = now + kMetricsInterval;
   suspects::Expire(crash_evidence_, now);
+  pacing::Expire(permit_desk_, now);
   LogLoad();
   metrics_.Update(scheduler_, now, gateways_.size());
 }
@@ -305,6 +304,8 @@
       .occupied = scheduling::OccupiedSlots(scheduler_),
       .waiting = static_cast<int>(scheduler_.waiting.size())};
   scheduling::UpdateCounters(counter_reports_, now, scheduler_.service);
+  const protocol::LimitReport limits{.rows = LimitRows(),
+                                     .gateways = GatewayCount()};
   for (const auto& [incarnation, it] : gateways_) {
     if (!scheduling::IsReportDue(counter_reports_, now, incarnation)) continue;
     load_report.workspaces.clear();
@@ -315,6 +316,7 @@
                                         .served = row.counters.served});
     }
     Send(it.control, load_report);
+    if (!limits.rows.empty()) Send(it.control, limits);
   }
 }
 
--- a/Source/Core/SchedulerRuntime/SchedulerDriver.h
+++ b/Source/Core/SchedulerRuntime/SchedulerDriver.h
@@ -8,6 +8,7 @@
 
 #include "Common/Clock.h"
 #include "Common/Types.h"
+#include "Pacing/PermitDesk.h"
 #include "Protocol/SchedulingMessages.h"
 #include "SchedulerRuntime/SchedulerMetrics.h"
 #include "SchedulerRuntime/SchedulerSettings.h"
@@ -17,6 +18,14 @@
 
 namespace shallotbeam::scheduler_runtime {
 
+// What an engine says of itself.
+struct EngineStatus {
+  scheduling::EngineReport load;
+  // Requests a second that it takes from all hosts together; absent if it
+  // states no limit.
+  std::optional<double> rate_limit;
+};
+
 struct SchedulerEnvironment {
   const common::Clock& clock;
   // Sends an encoded message; never blocks.
@@ -31,7 +40,8 @@
                   SchedulerEnvironment environment);
 
   void OnControlMessage(std::string_view bytes);
-  void OnReport(const scheduling::EngineReport& report);
+  // Handles the engine's answer to a call that took `call_time`.
+  void OnStatus(const EngineStatus& status, common::Duration call_time);
   void OnTick();
   // Thread-safe.
   std::string MetricsText() const { return metrics_.Text(); }
@@ -58,11 +68,22 @@
                      const protocol::StartedElsewhere& start);
   void HandleMessage(const protocol::SchedulingEnvelope& from,
                      const protocol::CrashReport& report);
-  // The next two messages are never sent to a scheduler; logs a warning.
   void HandleMessage(const protocol::SchedulingEnvelope& from,
-                     const protocol::SchedulerReport& load_report);
+                     const protocol::LimitReport& report);
   void HandleMessage(const protocol::SchedulingEnvelope& from,
-                     const protocol::StartReply& reply);
+                     const protocol::PermitRequest& request);
+  // The other messages are never sent to a scheduler; logs a warning.
+  template <typename Other>
+  void HandleMessage(const protocol::SchedulingEnvelope& from,
+                     const Other& message);
+
+  void OnReport(const scheduling::EngineReport& report);
+  // Merges a statement of the engine's limit and applies what holds.
+  void RecordEngineLimit(const pacing::StatedLimit& limit);
+  // Limits of this engine and of the upstreams whose permit desk this is.
+  std::vector<protocol::LimitRow> LimitRows() const;
+  // Gateways heard from; 0 if some may not have been heard from yet.
+  std::uint32_t GatewayCount() const;
 
   // Passes rows that were new to this scheduler on to all gateways.
   void SendCrashReports();
@@ -87,6 +108,9 @@
   scheduling::CounterReports counter_reports_;
   suspects::CrashEvidence crash_evidence_;
   suspects::CrashRowQueue crash_rows_{.sends = 2};
+  common::TimePoint started_;
+  // Knows the limit of the engine too.
+  pacing::PermitDesk permit_desk_;
   common::UpstreamName upstream_;
   std::uint64_t upstream_started_ = 0;
   // When a gateway last reported the current engine.
--- a/Source/Core/SchedulerRuntime/SchedulerProcess.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerProcess.cpp
@@ -24,7 +24,8 @@
   std::string bytes;
 };
 struct ReportMessage {
-  scheduling::EngineReport report;
+  EngineStatus status;
+  common::Duration call_time{0};
 };
 struct TickMessage {};
 
@@ -57,8 +58,9 @@
             });
           },
           [driver](const ReportMessage& message) {
-            common::RunGuarded("engine_report",
-                               [&] { driver->OnReport(message.report); });
+            common::RunGuarded("engine_report", [&] {
+              driver->OnStatus(message.status, message.call_time);
+            });
           },
           [driver](const TickMessage&) {
             common::RunGuarded("tick", [&] { driver->OnTick(); });
@@ -68,10 +70,12 @@
 // Polls the engine's load and sends each report to the scheduler's actor.
 class ReportPoller {
  public:
-  ReportPoller(net::io_context& context, common::Endpoint engine,
-               const EngineReportApi& report_api, caf::actor scheduler)
+  ReportPoller(net::io_context& context, const common::Clock& clock,
+               common::Endpoint engine, const EngineReportApi& report_api,
+               caf::actor scheduler)
       : client_(context),
         timer_(context),
+        clock_(clock),
         engine_(std::move(engine)),
         report_api_(report_api),
         scheduler_(std::move(scheduler)) {
@@ -83,10 +87,14 @@
     client_.Fetch(
         engine_, {.method = "GET", .target = report_api_.report_path},
         kReportTimeout,
-        [this](transport::CallEnd end, const transport::HttpResponse& it) {
+        [this, sent = clock_.Now()](transport::CallEnd end,
+                                    const transport::HttpResponse& it) {
           if (end == transport::CallEnd::kComplete && it.status == kOk) {
-            const auto report = report_api_.decode_report(it.body);
-            if (report) caf::anon_send(scheduler_, ReportMessage{*report});
+            const auto status = report_api_.decode_report(it);
+            if (status) {
+              caf::anon_send(scheduler_,
+                             ReportMessage{*status, clock_.Now() - sent});
+            }
           }
           timer_.expires_after(kReportInterval);
           timer_.async_wait([this](boost::system::error_code ec) {
@@ -97,6 +105,7 @@
 
   transport::HttpClient client_;
   net::steady_timer timer_;
+  const common::Clock& clock_;
   common::Endpoint engine_;
   const EngineReportApi& report_api_;
   caf::actor scheduler_;
@@ -126,7 +135,8 @@
         caf::anon_send(*scheduler, ControlMessage{std::string(bytes)});
       });
   if (!inbox.ok()) return inbox.status();
-  const ReportPoller poller(context, settings.engine, report_api, *scheduler);
+  const ReportPoller poller(context, clock, settings.engine, report_api,
+                            *scheduler);
   const auto metrics = runtime::ServeMetrics(
       context, settings.admin, [driver] { return driver->MetricsText(); });
   if (!metrics.ok()) return metrics.status();
--- a/Source/Core/SchedulerRuntime/SchedulerProcess.h
+++ b/Source/Core/SchedulerRuntime/SchedulerProcess.h
@@ -5,8 +5,9 @@
 #include <optional>
 #include <string>
 
+#include "SchedulerRuntime/SchedulerDriver.h"
 #include "SchedulerRuntime/SchedulerSettings.h"
-#include "Scheduling/EngineScheduler.h"
+#include "Transport/Http.h"
 #include "absl/status/status.h"
 
 namespace shallotbeam::scheduler_runtime {
@@ -14,8 +15,8 @@
 // How the model engines of a deployment report their load over HTTP.
 struct EngineReportApi {
   std::string report_path;
-  std::function<std::optional<scheduling::EngineReport>(
-      const std::string& body)>
+  std::function<std::optional<EngineStatus>(
+      const transport::HttpResponse& response)>
       decode_report;
 };
 
--- a/Source/Core/Scheduling/EngineScheduler.cpp
+++ b/Source/Core/Scheduling/EngineScheduler.cpp
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "Common/ExponentialDecay.h"
+
 namespace shallotbeam::scheduling {
 
 namespace {
@@ -32,13 +34,30 @@
   return now - it.arrived > it.offer.time_to_target;
 }
 
+double PacedTokens(const EngineScheduler& scheduler, common::TimePoint now,
+                   const common::WorkspaceName& workspace) {
+  const auto it = scheduler.paced_service.find(workspace);
+  if (it == scheduler.paced_service.end()) return 0;
+  return it->second.tokens *
+         common::DecayFactor(now - it->second.updated,
+                             scheduler.options.paced_service_memory);
+}
+
+double RecentService(const EngineScheduler& scheduler, common::TimePoint now,
+                     const Offer& offer) {
+  return scheduler.pacer ? PacedTokens(scheduler, now, offer.workspace)
+                         : offer.recent_service;
+}
+
 // Returns the sort key of a waiting request; smaller keys start earlier.
 // Compared in this order: priority; within the workspace's fair share before
 // over-share; not late before late; less recent service of the workspace first;
 // earlier target first.
-auto SchedulingKey(const Waiting& it, common::TimePoint now) {
+auto SchedulingKey(const EngineScheduler& scheduler, const Waiting& it,
+                   common::TimePoint now) {
   return std::make_tuple(it.offer.priority, !it.offer.within_share,
-                         IsLate(it, now), it.offer.recent_service,
+                         IsLate(it, now),
+                         RecentService(scheduler, now, it.offer),
                          it.arrived + it.offer.time_to_target);
 }
 
@@ -85,6 +104,10 @@
     return false;
   }
   if (PrefillWait(scheduler, now, offer) > common::Duration(0)) return false;
+  if (scheduler.pacer &&
+      pacing::WaitFor(*scheduler.pacer, now) > common::Duration(0)) {
+    return false;
+  }
   if (scheduler.spec.memory_tokens <= 0 || scheduler.running.empty()) {
     return true;
   }
@@ -131,6 +154,13 @@
       std::max(scheduler.over_share_prefill_until, now) +
           PacedTime(prefill, scheduler.options.over_share_prefill_share),
       now + kMaxOverShareBacklog);
+  if (scheduler.pacer) {
+    pacing::TakeStart(*scheduler.pacer, now);
+    scheduler.paced_service[offer.workspace] = {
+        .tokens = PacedTokens(scheduler, now, offer.workspace) +
+                  common::ServiceTokens(offer.prompt),
+        .updated = now};
+  }
   scheduler.cache.Insert(offer.prompt);
   if (scheduler.spec.memory_tokens > 0) {
     scheduler.cache.EvictTo(scheduler.spec.memory_tokens -
@@ -152,7 +182,8 @@
     const auto first =
         std::min_element(waiting.begin(), waiting.end(),
                          [&](const Waiting& a, const Waiting& b) {
-                           return SchedulingKey(a, now) < SchedulingKey(b, now);
+                           return SchedulingKey(scheduler, a, now) <
+                                  SchedulingKey(scheduler, b, now);
                          });
     if (!CanStart(scheduler, now, first->offer)) return;
     const Offer offer = std::move(first->offer);
@@ -178,17 +209,20 @@
   if (scheduler.spec.slots > 0 && ahead >= free_slots) {
     wait = std::max(wait, scheduler.end_interval * (ahead - free_slots + 1));
   }
+  if (scheduler.pacer) {
+    wait = std::max(wait, pacing::WaitFor(*scheduler.pacer, now, ahead));
+  }
   return wait;
 }
 
 common::Duration ExpectedWaitOf(const EngineScheduler& scheduler,
                                 common::TimePoint now, const Waiting& waiting) {
-  const auto order = SchedulingKey(waiting, now);
+  const auto order = SchedulingKey(scheduler, waiting, now);
   int ahead = 0;
   double tokens = 0;
   for (const Waiting& it : scheduler.waiting) {
     if (it.offer.id == waiting.offer.id) continue;
-    if (SchedulingKey(it, now) > order) continue;
+    if (SchedulingKey(scheduler, it, now) > order) continue;
     ++ahead;
     tokens += TokensToPrefill(scheduler, it.offer);
   }
@@ -255,7 +289,22 @@
   scheduler.spec = spec;
 }
 
+void SetRateLimit(EngineScheduler& scheduler, common::TimePoint now,
+                  std::optional<double> per_second) {
+  if (!per_second) {
+    scheduler.pacer.reset();
+    scheduler.paced_service.clear();
+  } else if (scheduler.pacer) {
+    pacing::SetRate(*scheduler.pacer, *per_second, pacing::kSupervisedPart,
+                    now);
+  } else {
+    scheduler.pacer =
+        pacing::MakePacer(*per_second, pacing::kSupervisedPart, now);
+  }
+}
+
 void ResetEngine(EngineScheduler& scheduler) {
+  scheduler.pacer.reset();
   scheduler.cache.Clear();
   scheduler.running.clear();
   scheduler.report.reset();
@@ -314,6 +363,7 @@
                 [id](const Waiting& it) { return it.offer.id == id; });
   const auto it = scheduler.running.find(id);
   if (it == scheduler.running.end()) return;
+  if (scheduler.pacer) pacing::ReturnStart(*scheduler.pacer);
   // The start was not used, so its prefill time is released.
   if (it->second.prefilling) {
     const common::Duration prefill =
--- a/Source/Core/Scheduling/EngineScheduler.h
+++ b/Source/Core/Scheduling/EngineScheduler.h
@@ -13,6 +13,7 @@
 #include "Common/Prompt.h"
 #include "Common/ServiceCounters.h"
 #include "Common/Types.h"
+#include "Pacing/StartPacer.h"
 #include "Scheduling/CacheDirectory.h"
 #include "Scheduling/PrefillRate.h"
 #include "Scheduling/PrefillShare.h"
@@ -104,6 +105,9 @@
   common::Duration unreported_start_grace = std::chrono::milliseconds(500);
   // Weight of the newest interval between the ends of two requests.
   double end_interval_weight = 0.1;
+  // Time constant with which service is forgotten while the engine states a
+  // limit.
+  common::Duration paced_service_memory = std::chrono::seconds(4);
 };
 
 struct EngineScheduler {
@@ -111,6 +115,10 @@
     Offer offer;
     common::TimePoint arrived;
   };
+  struct PacedService {
+    double tokens = 0;
+    common::TimePoint updated;
+  };
   struct Running {
     std::string request_id;
     common::Prompt prompt;
@@ -136,6 +144,12 @@
   common::TimePoint paced_prefill_until;
   // The same at the share of prefill up to which over-share requests start.
   common::TimePoint over_share_prefill_until;
+  // Set while the engine states a limit of requests a second.
+  std::optional<pacing::StartPacer> pacer;
+  // Tokens that each workspace received here since the limit was stated, which
+  // then decide the order. Service from before counts as much as a multiple of
+  // what the engine takes now, and would exclude its workspace for seconds.
+  std::map<common::WorkspaceName, PacedService> paced_service;
   std::optional<EngineReport> report;
   common::TimePoint last_report;
   // Mean time between the ends of two requests while all slots are occupied.
@@ -150,6 +164,10 @@
 
 // Sets the configured capacity of the engine.
 void SetCapacity(EngineScheduler& scheduler, const EngineCapacity& spec);
+// Sets or ends the limit of requests a second that the engine states to take
+// from all hosts together.
+void SetRateLimit(EngineScheduler& scheduler, common::TimePoint now,
+                  std::optional<double> per_second);
 // Discards the state of an engine that has restarted, which empties its cache.
 void ResetEngine(EngineScheduler& scheduler);
 
--- a/Source/Core/Wire/Fields.h
+++ b/Source/Core/Wire/Fields.h
@@ -115,6 +115,19 @@
 auto Fields(MaybeConst<protocol::CrashReport> auto& it) {
   return std::tie(it.rows);
 }
+auto Fields(MaybeConst<protocol::LimitRow> auto& it) {
+  return std::tie(it.upstream, it.started, it.limited, it.per_second,
+                  it.sent_age, it.received_age);
+}
+auto Fields(MaybeConst<protocol::LimitReport> auto& it) {
+  return std::tie(it.rows, it.gateways);
+}
+auto Fields(MaybeConst<protocol::PermitRequest> auto& it) {
+  return std::tie(it.number, it.control, it.limit, it.max_wait);
+}
+auto Fields(MaybeConst<protocol::PermitReply> auto& it) {
+  return std::tie(it.number, it.granted, it.wait, it.limit, it.gateways);
+}
 
 }  // namespace shallotbeam::wire
 
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -55,11 +55,24 @@
   return metadata;
 }
 
+forwarding::UpstreamStatements DecodeStatements(const Fields& fields) {
+  forwarding::UpstreamStatements stated{.leaving =
+                                            !Get(fields, "Leaving").empty()};
+  const std::string limit = Get(fields, "Limit");
+  if (!limit.empty()) stated.rate_limit = std::stod(limit);
+  const std::string pause = Get(fields, "Pause-Ms");
+  if (!pause.empty()) {
+    stated.retry_after = std::chrono::milliseconds(std::stoi(pause));
+  }
+  return stated;
+}
+
 forwarding::ResponseMetadata DecodeResponse(int status, const Fields& fields) {
   return {.request_id = Get(fields, "Id"),
           .not_run = !Get(fields, "Not-Run").empty(),
           .other_incarnation = status == 421,
-          .has_digest = !Get(fields, "Seal").empty()};
+          .has_digest = !Get(fields, "Seal").empty(),
+          .stated = DecodeStatements(fields)};
 }
 
 bool IsForwarded(std::string_view name) {
@@ -84,8 +97,9 @@
     .append_upstream_headers = AppendUpstreamHeaders,
     .request_id_header = "Id"};
 
-GatewaySettings TestSettings() {
+GatewaySettings TestSettings(std::vector<common::Endpoint> relays) {
   GatewaySettings settings;
+  settings.relays = std::move(relays);
   settings.callers = {.address = std::string(kLocal), .port = 0};
   return settings;
 }
@@ -196,12 +210,13 @@
 }
 
 std::string ResponseWithDigest(const std::string& request,
-                               const std::string& body, int status) {
+                               const std::string& body, int status,
+                               const std::string& extra_headers) {
   const std::size_t at = request.find("\r\nId: ") + 6;
   const std::string id = request.substr(at, request.find("\r\n", at) - at);
   return fmt::format(
-      "HTTP/1.1 {} x\r\nId: {}\r\nSeal: s\r\nContent-Length: {}\r\n\r\n{}",
-      status, id, body.size(), body);
+      "HTTP/1.1 {} x\r\nId: {}\r\nSeal: s\r\n{}Content-Length: {}\r\n\r\n{}",
+      status, id, extra_headers, body.size(), body);
 }
 
 FakeUpstream::Reaction RespondDone(const std::string& request) {
@@ -235,7 +250,8 @@
   socket_.close(ec);
 }
 
-GatewayFixture::GatewayFixture(bool with_workspaces) {
+GatewayFixture::GatewayFixture(bool with_workspaces,
+                               std::vector<common::Endpoint> relays) {
   catalogue::Route order = TestRoute("/order/");
   catalogue::Route lookup = TestRoute("/look/");
   lookup.repetition = catalogue::Repetition::kRepeatable;
@@ -255,7 +271,7 @@
     catalogue.credentials = {{"secret", 0}};
   }
   gateway = std::make_unique<Gateway>(
-      TestSettings(), static_cast<common::Incarnation>(1),
+      TestSettings(std::move(relays)), static_cast<common::Incarnation>(1),
       GatewayEnvironment{
           .context = context,
           .clock = clock,
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -68,7 +68,8 @@
 
 // A complete response to `request` with the digest that the gateway requires.
 std::string ResponseWithDigest(const std::string& request,
-                               const std::string& body, int status = 200);
+                               const std::string& body, int status = 200,
+                               const std::string& extra_headers = "");
 
 // The same with the body "done".
 FakeUpstream::Reaction RespondDone(const std::string& request);
@@ -98,7 +99,8 @@
 // of the store before a change of its items.
 class GatewayFixture {
  public:
-  explicit GatewayFixture(bool with_workspaces = false);
+  explicit GatewayFixture(bool with_workspaces = false,
+                          std::vector<common::Endpoint> relays = {});
 
   // Puts an entry for an upstream of the pool "plain" into the store.
   void AddUpstream(const std::string& name, const common::Endpoint& endpoint,
--- a/Source/UnitTests/Core/SchedulerRuntime/SchedulerDriverTest.cpp
+++ b/Source/UnitTests/Core/SchedulerRuntime/SchedulerDriverTest.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -135,6 +136,75 @@
   BOOST_CHECK_EQUAL(reports(), 3);
 }
 
+// Guards against gateways that don't learn of an engine's limit, or of its end.
+BOOST_AUTO_TEST_CASE(LimitOfTheEngineIsReported) {
+  SendGatewayReport(kCurrentEngine, 20);
+  const auto last_row = [&] {
+    std::optional<protocol::LimitRow> row;
+    for (const auto& it : sent) {
+      const auto* report = std::get_if<protocol::LimitReport>(&it.body);
+      if (report != nullptr && !report->rows.empty()) row = report->rows[0];
+    }
+    return row;
+  };
+  const auto run = [&](std::optional<double> limit) {
+    for (int i = 0; i < 60; ++i) {
+      driver.OnStatus({.rate_limit = limit}, 5ms);
+      clock.Advance(20ms);
+      driver.OnTick();
+    }
+  };
+  run(std::nullopt);
+  BOOST_CHECK(!last_row());
+  run(7);
+  BOOST_REQUIRE(last_row());
+  BOOST_CHECK(last_row()->upstream == kCurrentEngine);
+  BOOST_CHECK(last_row()->limited);
+  BOOST_CHECK_EQUAL(last_row()->per_second, 7);
+  SendGatewayReport(kCurrentEngine, 20);
+  run(std::nullopt);
+  BOOST_CHECK(!last_row()->limited);
+}
+
+// Guards against a scheduler whose engine answers its calls without the limit,
+// or not at all, while gateways see it.
+BOOST_AUTO_TEST_CASE(LimitSeenByAGatewayHolds) {
+  SendGatewayReport(kCurrentEngine, 20);
+  Receive(protocol::LimitReport{.rows = {{.upstream = kCurrentEngine,
+                                          .started = 20,
+                                          .limited = true,
+                                          .per_second = 0.1}}});
+  BOOST_CHECK_EQUAL(OfferSharedPrompt(), 0);
+  const auto starts =
+      std::count_if(sent.begin(), sent.end(), [](const auto& it) {
+        const auto* reply = std::get_if<protocol::StartReply>(&it.body);
+        return reply != nullptr &&
+               reply->decision == common::OfferDecision::kStart;
+      });
+  BOOST_CHECK_EQUAL(starts, 0);
+}
+
+// Guards against a permit desk that grants more than its part of the limit.
+BOOST_AUTO_TEST_CASE(PermitsStayWithinTheLimit) {
+  constexpr double kLimit = 10;
+  int granted = 0;
+  for (int i = 0; i < 400; ++i) {
+    Receive(protocol::PermitRequest{
+        .number = static_cast<std::uint64_t>(i),
+        .limit = {.upstream = common::UpstreamName("plain"),
+                  .limited = true,
+                  .per_second = kLimit}});
+    const auto* reply = std::get_if<protocol::PermitReply>(&sent.back().body);
+    BOOST_REQUIRE(reply != nullptr);
+    BOOST_CHECK_EQUAL(reply->number, i);
+    if (reply->granted) ++granted;
+    clock.Advance(20ms);
+  }
+  // 8 s at the part of one of two desks.
+  BOOST_CHECK_LE(granted, 8 * kLimit / 2);
+  BOOST_CHECK_GE(granted, 8 * kLimit * 0.4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::scheduler_runtime
--- a/Source/UnitTests/Core/Scheduling/EngineSchedulerTest.cpp
+++ b/Source/UnitTests/Core/Scheduling/EngineSchedulerTest.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -414,6 +415,77 @@
   BOOST_CHECK(Started(id));
 }
 
+// Guards against an engine that gets more requests a second than it states to
+// take.
+BOOST_AUTO_TEST_CASE(StartsStayWithinTheStatedLimit) {
+  constexpr double kLimit = 7;
+  SetCapacity(scheduler, {.slots = 1'000, .memory_tokens = 5'000'000});
+  SetRateLimit(scheduler, clock.Now(), kLimit);
+  std::vector<common::TimePoint> starts;
+  for (int i = 0; i < 400; ++i) {
+    const std::size_t before = replies.size();
+    Send({.tokens = 10, .output = 1, .time_to_deadline = 1s});
+    OnTick(scheduler, clock.Now(), &replies);
+    for (std::size_t j = before; j < replies.size(); ++j) {
+      if (replies[j].decision == common::OfferDecision::kStart) {
+        starts.push_back(clock.Now());
+      }
+    }
+    clock.Advance(20ms);
+  }
+  // 8 s.
+  BOOST_CHECK_LE(starts.size(), 8 * kLimit);
+  BOOST_CHECK_GE(starts.size(), 8 * kLimit * 0.8);
+}
+
+// Guards against a workspace that gets nothing from an engine with a limit,
+// because of the service that it received before.
+BOOST_AUTO_TEST_CASE(LimitedEngineSharesFromTheStartOfTheLimit) {
+  SetCapacity(scheduler, {.slots = 1'000, .memory_tokens = 5'000'000});
+  SetRateLimit(scheduler, clock.Now(), 4);
+  std::map<std::string, int> starts;
+  for (int i = 0; i < 300; ++i) {
+    for (const char* workspace : {"served-before", "other"}) {
+      const bool before = workspace == std::string("served-before");
+      const OfferId id = Send({.workspace = workspace,
+                               .tokens = 10,
+                               .output = 10,
+                               .time_to_deadline = 400ms,
+                               .recent_service = before ? 1e6 : 1.0});
+      if (Started(id)) ++starts[workspace];
+    }
+    const std::size_t known = replies.size();
+    clock.Advance(20ms);
+    OnTick(scheduler, clock.Now(), &replies);
+    for (std::size_t j = known; j < replies.size(); ++j) {
+      if (replies[j].decision != common::OfferDecision::kStart) continue;
+      ++starts[replies[j].id.number % 2 == 1 ? "served-before" : "other"];
+    }
+  }
+  BOOST_CHECK_GE(starts["served-before"], 8);
+  BOOST_CHECK_GE(starts["other"], 8);
+}
+
+// Guards against waits that leave out the stated limit, by which gateways
+// choose between engines and callers are told when to come back.
+BOOST_AUTO_TEST_CASE(ExpectedWaitIncludesTheStatedLimit) {
+  SetRateLimit(scheduler, clock.Now(), 0.5);
+  BOOST_CHECK(ExpectedWait(scheduler, clock.Now(), {}) >= 2s);
+  SetRateLimit(scheduler, clock.Now(), std::nullopt);
+  BOOST_CHECK(ExpectedWait(scheduler, clock.Now(), {}) < 100ms);
+}
+
+// Guards against a start that counts although its gateway did not use it.
+BOOST_AUTO_TEST_CASE(WithdrawnStartDoesNotCountAgainstTheLimit) {
+  SetRateLimit(scheduler, clock.Now(), 1);
+  clock.Advance(2s);
+  const OfferId first = Send({.time_to_deadline = 1s});
+  BOOST_CHECK(Started(first));
+  OnWithdrawn(scheduler, clock.Now(), first, &replies);
+  BOOST_CHECK(Started(Send({.time_to_deadline = 1s})));
+  BOOST_CHECK(!Started(Send({.time_to_deadline = 1s})));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::scheduling
