Send no requests to an upstream that states in a response that it leaves

Change: the statement holds for the incarnation, whatever older entries of the store say afterwards. Broken connections of such an upstream are no crash.

Evidence: with the statement ignored, LeavingUpstreamsTest fails: the upstream got more than the one request.

--- a/Source/Core/Balancing/UpstreamTable.cpp
+++ b/Source/Core/Balancing/UpstreamTable.cpp
@@ -1,5 +1,7 @@
 #include "Balancing/UpstreamTable.h"
 
+#include <utility>
+
 namespace shallotbeam::balancing {
 
 UpstreamChange PutEntry(UpstreamTable& table, const common::UpstreamName& name,
@@ -10,7 +12,7 @@
   upstream.name = name;
   upstream.entry = entry;
   upstream.listed = true;
-  if (added || restarted) upstream.replaced = false;
+  if (added || restarted) upstream.replaced = upstream.leaving = false;
   for (const common::UpstreamName& other :
        UpstreamsAtSameAddress(table, name)) {
     Upstream& sharing = table.upstreams.at(other);
@@ -48,7 +50,7 @@
   Upstream& upstream = it->second;
   const bool after_outage =
       store_recovered && now - *store_recovered < table.options.expiry_grace;
-  if (after_outage && !upstream.entry.draining) {
+  if (after_outage && !upstream.entry.draining && !upstream.leaving) {
     upstream.listed = false;
     upstream.expired_at = *store_recovered;
     return UpstreamChange::kUpdated;
@@ -75,8 +77,14 @@
   if (it != table.upstreams.end()) it->second.replaced = true;
 }
 
+bool MarkLeaving(UpstreamTable& table, const common::UpstreamName& name) {
+  const auto it = table.upstreams.find(name);
+  if (it == table.upstreams.end()) return false;
+  return !std::exchange(it->second.leaving, true);
+}
+
 bool AcceptsWork(const Upstream& upstream) {
-  return !upstream.entry.draining && !upstream.replaced;
+  return !upstream.entry.draining && !upstream.replaced && !upstream.leaving;
 }
 
 }  // namespace shallotbeam::balancing
--- a/Source/Core/Balancing/UpstreamTable.h
+++ b/Source/Core/Balancing/UpstreamTable.h
@@ -45,6 +45,9 @@
   // Another upstream or incarnation answers at the address, so the entry is out
   // of date.
   bool replaced = false;
+  // This incarnation has stated in a response that it leaves. Its entry may say
+  // so later, or never.
+  bool leaving = false;
 };
 
 struct UpstreamTable {
@@ -84,6 +87,10 @@
 // Marks an upstream at whose address another incarnation answers.
 void MarkReplaced(UpstreamTable& table, const common::UpstreamName& name);
 
+// Marks an upstream that states that it leaves, until it starts anew. Returns
+// whether that was new.
+bool MarkLeaving(UpstreamTable& table, const common::UpstreamName& name);
+
 // Removes and returns the upstreams whose expired entries did not return.
 std::vector<common::UpstreamName> RemoveExpired(UpstreamTable& table,
                                                 common::TimePoint now);
--- a/Source/Core/Gateway/GatewayCrashes.cpp
+++ b/Source/Core/Gateway/GatewayCrashes.cpp
@@ -64,8 +64,8 @@
 void Gateway::RecordBrokenAttempt(const Call& call) {
   const auto it = upstreams_.upstreams.find(call.upstream);
   // An upstream that is leaving closes connections without a crash.
-  const bool serving =
-      it != upstreams_.upstreams.end() && !it->second.entry.draining;
+  const bool serving = it != upstreams_.upstreams.end() &&
+                       !it->second.entry.draining && !it->second.leaving;
   if (!serving || call.HasResponseStarted()) return;
   crash_detector_.OnBroken(
       call.upstream, it->second.entry.endpoint, it->second.entry.started,
--- a/Source/Core/Gateway/GatewayStatements.cpp
+++ b/Source/Core/Gateway/GatewayStatements.cpp
@@ -38,6 +38,9 @@
                                 .sent = call.attempt_started,
                                 .received = Now()});
   }
+  if (stated.leaving && balancing::MarkLeaving(upstreams_, call.upstream)) {
+    UpdateEngine(call.upstream);
+  }
   const auto known = stated_.find(call.upstream);
   const bool changed = known == stated_.end()
                            ? stated != forwarding::UpstreamStatements()
--- a/Source/UnitTests/Core/Balancing/UpstreamTableTest.cpp
+++ b/Source/UnitTests/Core/Balancing/UpstreamTableTest.cpp
@@ -52,6 +52,19 @@
   BOOST_CHECK(table.upstreams.empty());
 }
 
+// Guards against an upstream that gets work again by an entry from before it
+// stated that it leaves, and against one that gets none after its restart.
+BOOST_AUTO_TEST_CASE(LeavingHoldsUntilTheNextIncarnation) {
+  UpstreamTable table;
+  PutEntry(table, kName, EntryOf(1));
+  BOOST_CHECK(MarkLeaving(table, kName));
+  BOOST_CHECK(!MarkLeaving(table, kName));
+  PutEntry(table, kName, EntryOf(1));
+  BOOST_CHECK(!AcceptsWork(table.upstreams.at(kName)));
+  PutEntry(table, kName, EntryOf(2));
+  BOOST_CHECK(AcceptsWork(table.upstreams.at(kName)));
+}
+
 // An address is reused. An upstream that was replaced and later returns under
 // its name must get work again.
 BOOST_AUTO_TEST_CASE(ReplacedUpstreamReturnsWithItsNextIncarnation) {
--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/LeavingUpstreamsTest.cpp
@@ -0,0 +1,59 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Core/Gateway/GatewayFixture.h"
+
+// What a gateway does with upstreams that state in a response that they leave
+// or want no requests for a while.
+namespace shallotbeam::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+
+struct Fixture : GatewayFixture {
+  // Sends a request and returns the response.
+  std::string Exchange(const std::string& path) {
+    Caller caller(context, gateway->CallersPort());
+    caller.Send(Request(path));
+    RunUntil([&] { return !caller.Received().empty(); });
+    return caller.Received();
+  }
+};
+
+// Responds with an extra header to the first request.
+FakeUpstream::Behaviour RespondOnceWith(const std::string& header,
+                                        int status = 200) {
+  return [header, status, first = true](
+             const std::string& request) mutable -> FakeUpstream::Reaction {
+    if (!std::exchange(first, false)) return RespondDone(request);
+    return {.bytes = ResponseWithDigest(request, "done", status, header)};
+  };
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LeavingUpstreamsTest, Fixture)
+
+// Guards against requests to an upstream that has stated to this gateway that
+// it leaves, while its entry in the store says nothing of it.
+BOOST_AUTO_TEST_CASE(UpstreamThatStatesItsLeavingGetsNoMoreRequests) {
+  FakeUpstream leaving(context, RespondOnceWith("Leaving: 1\r\n"));
+  AddUpstream("leaving", leaving.Endpoint());
+  BOOST_CHECK(Contains(Exchange("/order/"), "200"));
+  FakeUpstream other(context, RespondDone);
+  AddUpstream("other", other.Endpoint());
+  for (int i = 0; i < 10; ++i) {
+    BOOST_CHECK(Contains(Exchange("/order/"), "200"));
+  }
+  BOOST_CHECK_EQUAL(leaving.Requests().size(), 1);
+  // A renewal of the entry that was written before.
+  AddUpstream("leaving", leaving.Endpoint());
+  for (int i = 0; i < 10; ++i) {
+    BOOST_CHECK(Contains(Exchange("/order/"), "200"));
+  }
+  BOOST_CHECK_EQUAL(leaving.Requests().size(), 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shallotbeam::gateway
