--- a/Source/Core/Balancing/UpstreamTable.cpp
+++ b/Source/Core/Balancing/UpstreamTable.cpp
@@ -1,5 +1,6 @@
 #include "Balancing/UpstreamTable.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shallotbeam::balancing {
@@ -12,7 +13,10 @@
   upstream.name = name;
   upstream.entry = entry;
   upstream.listed = true;
-  if (added || restarted) upstream.replaced = upstream.leaving = false;
+  if (added || restarted) {
+    upstream.replaced = upstream.leaving = false;
+    upstream.paused_until = {};
+  }
   for (const common::UpstreamName& other :
        UpstreamsAtSameAddress(table, name)) {
     Upstream& sharing = table.upstreams.at(other);
@@ -83,6 +87,23 @@
   return !std::exchange(it->second.leaving, true);
 }
 
+void Pause(UpstreamTable& table, const common::UpstreamName& name,
+           common::TimePoint until) {
+  const auto it = table.upstreams.find(name);
+  if (it == table.upstreams.end()) return;
+  it->second.paused_until = std::max(it->second.paused_until, until);
+}
+
+std::optional<common::TimePoint> PausedUntil(const UpstreamTable& table,
+                                             const common::UpstreamName& name,
+                                             common::TimePoint now) {
+  const auto it = table.upstreams.find(name);
+  if (it == table.upstreams.end() || it->second.paused_until <= now) {
+    return std::nullopt;
+  }
+  return it->second.paused_until;
+}
+
 bool AcceptsWork(const Upstream& upstream) {
   return !upstream.entry.draining && !upstream.replaced && !upstream.leaving;
 }
--- a/Source/Core/Balancing/UpstreamTable.h
+++ b/Source/Core/Balancing/UpstreamTable.h
@@ -48,6 +48,8 @@
   // This incarnation has stated in a response that it leaves. Its entry may say
   // so later, or never.
   bool leaving = false;
+  // It has told this process to send no requests before this time.
+  common::TimePoint paused_until;
 };
 
 struct UpstreamTable {
@@ -91,6 +93,16 @@
 // whether that was new.
 bool MarkLeaving(UpstreamTable& table, const common::UpstreamName& name);
 
+// Pauses an upstream that wants no requests from this process before `until`.
+void Pause(UpstreamTable& table, const common::UpstreamName& name,
+           common::TimePoint until);
+
+// Returns until when the upstream wants no requests; absent if it takes them
+// now or is not known.
+std::optional<common::TimePoint> PausedUntil(const UpstreamTable& table,
+                                             const common::UpstreamName& name,
+                                             common::TimePoint now);
+
 // Removes and returns the upstreams whose expired entries did not return.
 std::vector<common::UpstreamName> RemoveExpired(UpstreamTable& table,
                                                 common::TimePoint now);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -200,6 +200,9 @@
   // Registers the engine of an upstream with the scheduler client, if the
   // upstream's pool has engines.
   void RegisterEngine(const balancing::Upstream& upstream);
+  common::Duration ShortestPause(const Call& call) const;
+  // Responds to a call for which no upstream is left.
+  void RespondNoUpstream(Call& call);
   common::Duration RetryAfter(const Call& call, common::Duration wait);
   void RecordEventGap(Call& call, common::Duration event_gap);
   // Updates the ejection state of the upstream with the outcome of an attempt.
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -84,8 +84,9 @@
 std::vector<const common::UpstreamName*> Gateway::Candidates(
     const Call& call) const {
   auto names = AvailableUpstreams(call.pool);
-  std::erase_if(names, [&call](const auto* it) {
-    return call.tried_upstreams.count(*it) != 0;
+  std::erase_if(names, [&](const auto* it) {
+    return call.tried_upstreams.count(*it) != 0 ||
+           balancing::PausedUntil(upstreams_, *it, Now());
   });
   return balancing::ExcludeEjected(
       ejections_, environment_.clock.Now(), std::move(names),
@@ -156,11 +157,29 @@
   return any_responsive ? group : ranked;
 }
 
-void Gateway::Dispatch(Call& call) {
-  const auto candidates = Candidates(call);
-  if (candidates.empty()) {
+// Returns the time until an upstream of the call's pool takes requests again;
+// zero if one takes them now or none will.
+common::Duration Gateway::ShortestPause(const Call& call) const {
+  std::optional<common::Duration> shortest;
+  for (const auto* it : AvailableUpstreams(call.pool)) {
+    const auto until = balancing::PausedUntil(upstreams_, *it, Now());
+    const common::Duration pause = until ? *until - Now() : common::Duration(0);
+    shortest = shortest ? std::min(*shortest, pause) : pause;
+  }
+  return shortest.value_or(common::Duration(0));
+}
+
+void Gateway::RespondNoUpstream(Call& call) {
+  const common::Duration pause = ShortestPause(call);
+  if (pause == common::Duration(0)) {
     return Respond(call, kUnavailable, "no_upstream", kDefaultRetryAfter);
   }
+  Respond(call, kUnavailable, "upstreams_paused", pause);
+}
+
+void Gateway::Dispatch(Call& call) {
+  const auto candidates = Candidates(call);
+  if (candidates.empty()) return RespondNoUpstream(call);
   if (!call.metadata.prompt) return DispatchToService(call, candidates);
   const auto ranked = balancing::RankByPrefix(
       common::SharedPrefixKey(*call.metadata.prompt), candidates);
@@ -240,9 +259,7 @@
                      "overloaded", RetryAfter(call, outcome.wait));
     case SearchOutcome::Kind::kNoScheduler: {
       const auto candidates = Candidates(call);
-      if (candidates.empty()) {
-        return Respond(call, kUnavailable, "no_upstream", kDefaultRetryAfter);
-      }
+      if (candidates.empty()) return RespondNoUpstream(call);
       const auto within_limits = EnginesWithinLimits(candidates);
       if (within_limits.empty()) {
         return Respond(call, kUnavailable, "rate_limited", kDefaultRetryAfter);
@@ -283,7 +300,8 @@
 void Gateway::SendTo(Call& call, const common::UpstreamName& name,
                      StartGrant grant) {
   const auto it = upstreams_.upstreams.find(name);
-  if (it == upstreams_.upstreams.end() || !balancing::AcceptsWork(it->second)) {
+  if (it == upstreams_.upstreams.end() || !balancing::AcceptsWork(it->second) ||
+      balancing::PausedUntil(upstreams_, name, Now())) {
     scheduler_client_.ReportProgress(grant, protocol::StartStage::kWithdrawn);
     return Dispatch(call);
   }
@@ -417,7 +435,7 @@
   }
   if (call.verdict == common::Verdict::kNotRun) {
     return Respond(call, kUnavailable, "refused_by_upstream",
-                   kDefaultRetryAfter);
+                   std::max(kDefaultRetryAfter, ShortestPause(call)));
   }
   Respond(call, kBadGateway, "upstream_failed");
 }
--- a/Source/Core/Gateway/GatewayStatements.cpp
+++ b/Source/Core/Gateway/GatewayStatements.cpp
@@ -41,6 +41,9 @@
   if (stated.leaving && balancing::MarkLeaving(upstreams_, call.upstream)) {
     UpdateEngine(call.upstream);
   }
+  if (stated.retry_after) {
+    balancing::Pause(upstreams_, call.upstream, Now() + *stated.retry_after);
+  }
   const auto known = stated_.find(call.upstream);
   const bool changed = known == stated_.end()
                            ? stated != forwarding::UpstreamStatements()
--- a/Source/UnitTests/Core/Gateway/LeavingUpstreamsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/LeavingUpstreamsTest.cpp
@@ -54,6 +54,28 @@
   BOOST_CHECK_EQUAL(leaving.Requests().size(), 1);
 }
 
+// Guards against requests to an upstream that has turned one away for a while,
+// and against callers that are refused while another one could serve them.
+BOOST_AUTO_TEST_CASE(UpstreamThatWantsNoRequestsIsPaused) {
+  FakeUpstream full(context,
+                    RespondOnceWith("Not-Run: 1\r\nPause-Ms: 2000\r\n", 503));
+  AddUpstream("full", full.Endpoint());
+  BOOST_CHECK(Contains(Exchange("/order/"), "503"));
+  // The caller is told when the upstream takes requests again.
+  const std::string refusal = Exchange("/order/");
+  BOOST_CHECK(Contains(refusal, "503"));
+  BOOST_CHECK(Contains(refusal, "Retry-After: 2.000"));
+  FakeUpstream other(context, RespondDone);
+  AddUpstream("other", other.Endpoint());
+  for (int i = 0; i < 10; ++i) {
+    BOOST_CHECK(Contains(Exchange("/order/"), "200"));
+  }
+  BOOST_CHECK_EQUAL(full.Requests().size(), 1);
+  Advance(2s);
+  for (int i = 0; i < 20; ++i) Exchange("/order/");
+  BOOST_CHECK_GT(full.Requests().size(), 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::gateway
