Order the results of the store by era and revision

Cause: revisions of two eras were compared as if of one. (1) A list took an item as unchanged if its revision equalled that of the copy, although another value may have it. (2) Changes below the copy were dropped and the polled revision never went back. (3) A poll from a revision that the store had passed again was answered without a 410 and missed what was written below it. (4) Relay and follower, and the relay's log, did not know of each other's era.

Change: StorePosition is era, then revision, from the store's client (the only one that knows the header) through sessions, logs, polls of relays and entries of upstreams. A result of a later era starts a list; one of an earlier era counts as no answer; relays and followers of two eras don't serve each other. A restore counts as the end of an outage, so that entries written in the lost time have the usual time to return.

Stores that state no era behave as before.

--- a/Source/Core/Balancing/UpstreamTable.cpp
+++ b/Source/Core/Balancing/UpstreamTable.cpp
@@ -20,7 +20,7 @@
   for (const common::UpstreamName& other :
        UpstreamsAtSameAddress(table, name)) {
     Upstream& sharing = table.upstreams.at(other);
-    const bool newer = entry.revision > sharing.entry.revision;
+    const bool newer = entry.position > sharing.entry.position;
     (newer ? sharing : upstream).replaced = true;
   }
   if (added) return UpstreamChange::kAdded;
--- a/Source/Core/Balancing/UpstreamTable.h
+++ b/Source/Core/Balancing/UpstreamTable.h
@@ -24,8 +24,8 @@
   // Start time of this incarnation. A restarted upstream keeps its name but has
   // lost its state.
   std::uint64_t started = 0;
-  // Revision of the store at which the entry was last written.
-  std::uint64_t revision = 0;
+  // Position of the store at which the entry was last written.
+  common::StorePosition position;
 };
 
 struct UpstreamTableOptions {
@@ -79,7 +79,7 @@
                            common::TimePoint now,
                            std::optional<common::TimePoint> store_recovered);
 
-// Whether two entries differ at most in their revision.
+// Whether two entries differ at most in their position.
 bool IsSameState(const UpstreamEntry& a, const UpstreamEntry& b);
 
 // Returns the other known upstreams with the same address.
--- a/Source/Core/Common/Types.h
+++ b/Source/Core/Common/Types.h
@@ -46,6 +46,15 @@
 
 enum class GrantId : std::uint64_t { kNone = 0 };
 enum class ConfigVersion : std::uint64_t { kNone = 0 };
+// Position in the history of a key-value store. A store that was restored from
+// an older copy gives out revisions again, in a new era.
+struct StorePosition {
+  std::uint64_t era = 0;
+  std::uint64_t revision = 0;
+
+  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+};
+
 // Hash of workspace, kind and body.
 enum class Fingerprint : std::uint64_t { kNone = 0 };
 
--- a/Source/Core/Gateway/ChangeRelay.cpp
+++ b/Source/Core/Gateway/ChangeRelay.cpp
@@ -34,7 +34,7 @@
 
 void ChangeRelay::OnUpdate(const platform_clients::StoreUpdate& update) {
   if (update.resynced) {
-    platform_clients::RestartLog(log_, session_.revision);
+    platform_clients::RestartLog(log_, session_.position);
   }
   if (!update.changes.empty() || !IsCurrent()) RespondToAll();
 }
@@ -59,13 +59,13 @@
     RespondWith(exchange, kUnavailable);
     return true;
   }
-  auto changes = platform_clients::ChangesSince(log_, waiting.poll.revision);
+  auto changes = platform_clients::ChangesSince(log_, waiting.poll.position);
   if (!changes) {
     RespondWith(exchange, kHistoryGone);
     return true;
   }
   const common::Duration waited = clock_.Now() - waiting.arrived;
-  const bool behind = session_.revision < waiting.poll.revision;
+  const bool behind = session_.position < waiting.poll.position;
   const bool has_changes = !behind && !changes->empty();
   if (!has_changes && waited < waiting.poll.wait) return false;
   if (behind) {
@@ -76,7 +76,7 @@
   const platform_clients::ChangesResult result{
       .status = absl::OkStatus(),
       .changes = *std::move(changes),
-      .as_of = session_.revision,
+      .as_of = session_.position,
       .copy = platform_clients::CopyOfStore{
           .age = std::chrono::ceil<milliseconds>(*age),
           .waited = std::chrono::floor<milliseconds>(waited)}};
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -241,7 +241,7 @@
   }
   const auto& poll = std::get<platform_clients::PollCall>(*call);
   environment_.store.AwaitChanges(
-      "", poll.revision, poll.wait,
+      "", poll.position, poll.wait,
       [this](const platform_clients::ChangesResult& result) {
         ApplyStoreUpdate(
             platform_clients::OnChanges(store_, environment_.clock.Now(),
@@ -260,6 +260,10 @@
         update.disconnected ? "lost" : "regained", call_time / milliseconds(1),
         StoreAge().value_or(milliseconds(-1)) / milliseconds(1));
   }
+  if (update.restored) {
+    Log(Subsystem::kPlatform, LogLevel::kWarning,
+        "event=store_restored era={} source={}", store_.era, origin.source);
+  }
   for (const platform_clients::ItemChange& it : update.changes) {
     // One item that can't be handled must not hide the others.
     common::RunGuarded("store_change", [&] {
--- a/Source/Core/PlatformClients/ChangeLog.cpp
+++ b/Source/Core/PlatformClients/ChangeLog.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 void Erase(ChangeLog& log,
-           std::map<ChangeLog::Position, ItemChange>::iterator change) {
+           std::map<ChangeLog::Place, ItemChange>::iterator change) {
   if (change->second.removed) --log.removed;
-  log.revisions.erase(change->second.item.key);
+  log.positions.erase(change->second.item.key);
   log.changes.erase(change);
 }
 
@@ -26,31 +26,33 @@
 
 }  // namespace
 
-void RestartLog(ChangeLog& log, std::uint64_t revision) {
+void RestartLog(ChangeLog& log, common::StorePosition position) {
   log.changes.clear();
-  log.revisions.clear();
+  log.positions.clear();
   log.removed = 0;
-  log.complete_since = revision;
+  log.complete_since = position;
 }
 
 void RecordChange(ChangeLog& log, const ItemChange& change) {
   const std::string& key = change.item.key;
-  const auto known = log.revisions.find(key);
-  if (known != log.revisions.end()) {
-    if (known->second > change.item.revision) return;
+  const auto known = log.positions.find(key);
+  if (known != log.positions.end()) {
+    if (known->second > change.item.position) return;
     Erase(log, log.changes.find({known->second, key}));
   }
-  log.revisions[key] = change.item.revision;
-  log.changes[{change.item.revision, key}] = change;
+  log.positions[key] = change.item.position;
+  log.changes[{change.item.position, key}] = change;
   if (change.removed) ++log.removed;
   LimitRemovals(log);
 }
 
-std::optional<std::vector<ItemChange>> ChangesSince(const ChangeLog& log,
-                                                    std::uint64_t revision) {
-  if (revision < log.complete_since) return std::nullopt;
+std::optional<std::vector<ItemChange>> ChangesSince(
+    const ChangeLog& log, common::StorePosition position) {
+  const bool same_era = position.era == log.complete_since.era;
+  if (!same_era || position < log.complete_since) return std::nullopt;
   std::vector<ItemChange> changes;
-  for (auto it = log.changes.lower_bound({revision + 1, ""});
+  ++position.revision;
+  for (auto it = log.changes.lower_bound({position, ""});
        it != log.changes.end(); ++it) {
     changes.push_back(it->second);
   }
--- a/Source/Core/PlatformClients/ChangeLog.h
+++ b/Source/Core/PlatformClients/ChangeLog.h
@@ -22,26 +22,26 @@
 };
 
 struct ChangeLog {
-  // Several keys may change at one revision.
-  using Position = std::pair<std::uint64_t, std::string>;
+  // Several keys may change at one position.
+  using Place = std::pair<common::StorePosition, std::string>;
 
   ChangeLogOptions options;
-  std::map<Position, ItemChange> changes;
-  std::unordered_map<std::string, std::uint64_t> revisions;  // by key
+  std::map<Place, ItemChange> changes;
+  std::unordered_map<std::string, common::StorePosition> positions;  // by key
   std::size_t removed = 0;  // number of removals in `changes`
-  // The log has all changes after this revision.
-  std::uint64_t complete_since = 0;
+  // The log has all changes of this era after this position.
+  common::StorePosition complete_since;
 };
 
 // Starts over after the store was listed, because changes may be missing.
-void RestartLog(ChangeLog& log, std::uint64_t revision);
+void RestartLog(ChangeLog& log, common::StorePosition position);
 
 void RecordChange(ChangeLog& log, const ItemChange& change);
 
-// Returns the changes after `revision`, in order of revision. Absent if some of
-// them are not in the log.
-std::optional<std::vector<ItemChange>> ChangesSince(const ChangeLog& log,
-                                                    std::uint64_t revision);
+// Returns the changes after `position`, in their order. Absent if some of them
+// are not in the log, or if the log is of another era.
+std::optional<std::vector<ItemChange>> ChangesSince(
+    const ChangeLog& log, common::StorePosition position);
 
 }  // namespace shallotbeam::platform_clients
 
--- a/Source/Core/PlatformClients/ItemStore.h
+++ b/Source/Core/PlatformClients/ItemStore.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "Common/Types.h"
 #include "absl/status/status.h"
 
 // The operations of the platform's key-value service that a gateway needs:
@@ -17,15 +18,15 @@
 struct StoredItem {
   std::string key;
   std::string value;
-  std::uint64_t revision = 0;
+  common::StorePosition position;  // of the last change
 };
 
 // One page of the items under a prefix, sorted by key.
 struct ListResult {
   absl::Status status;  // kUnavailable: no valid response
   std::vector<StoredItem> items;
-  bool truncated = false;   // more pages follow
-  std::uint64_t as_of = 0;  // store revision of the page
+  bool truncated = false;       // more pages follow
+  common::StorePosition as_of;  // of the store when it made the page
 };
 
 struct ItemChange {
@@ -46,7 +47,9 @@
   // changes since the requested revision; the prefix must be listed again.
   absl::Status status;
   std::vector<ItemChange> changes;
-  std::uint64_t as_of = 0;  // store revision up to which `changes` is complete
+  // Position up to which `changes` is complete, if the store is still in the
+  // era of the request; else the changes mean nothing without a list.
+  common::StorePosition as_of;
   std::optional<CopyOfStore> copy;  // absent: from the store itself
 };
 
@@ -60,8 +63,9 @@
   virtual void List(const std::string& prefix, const std::string& after,
                     std::function<void(ListResult)> done) = 0;
 
-  // Long poll: waits at most `wait` for changes after `revision`.
-  virtual void AwaitChanges(const std::string& prefix, std::uint64_t revision,
+  // Long poll: waits at most `wait` for changes after `position`.
+  virtual void AwaitChanges(const std::string& prefix,
+                            common::StorePosition position,
                             std::chrono::milliseconds wait,
                             std::function<void(ChangesResult)> done) = 0;
 };
--- a/Source/Core/PlatformClients/RelayCodec.cpp
+++ b/Source/Core/PlatformClients/RelayCodec.cpp
@@ -21,12 +21,23 @@
 
 constexpr std::string_view kPollPrefix = "/changes?after=";
 constexpr std::string_view kWaitKey = "wait_ms=";
+constexpr std::string_view kEraKey = "era=";
 constexpr std::uint64_t kMaxWaitMs = 30'000;
 
-ItemChange DecodeChange(const json& object) {
+// Parses "KEY=NUMBER".
+bool ParseField(absl::string_view field, std::string_view key,
+                std::uint64_t* number) {
+  return absl::ConsumePrefix(&field,
+                             absl::string_view(key.data(), key.size())) &&
+         absl::SimpleAtoi(field, number);
+}
+
+ItemChange DecodeChange(const json& object, std::uint64_t era) {
   ItemChange change{
       .item = {.key = object.at("key").get<std::string>(),
-               .revision = object.at("revision").get<std::uint64_t>()},
+               .position = {.era = era,
+                            .revision =
+                                object.at("revision").get<std::uint64_t>()}},
       .removed = object.at("removed").get<bool>()};
   if (!absl::Base64Unescape(object.at("value").get<std::string>(),
                             &change.item.value)) {
@@ -38,8 +49,8 @@
 }  // namespace
 
 std::string EncodeRelayPoll(const RelayPoll& poll) {
-  return fmt::format("{}{}&{}{}", kPollPrefix, poll.revision, kWaitKey,
-                     poll.wait.count());
+  return fmt::format("{}{}&{}{}&{}{}", kPollPrefix, poll.position.revision,
+                     kWaitKey, poll.wait.count(), kEraKey, poll.position.era);
 }
 
 std::optional<RelayPoll> DecodeRelayPoll(std::string_view target) {
@@ -49,15 +60,12 @@
     return std::nullopt;
   }
   const std::vector<std::string> fields = absl::StrSplit(rest, '&');
-  if (fields.size() != 2) return std::nullopt;
-  absl::string_view wait = fields[1];
+  if (fields.size() != 3) return std::nullopt;
   RelayPoll poll;
   std::uint64_t wait_ms = 0;
-  const bool valid =
-      absl::SimpleAtoi(fields[0], &poll.revision) &&
-      absl::ConsumePrefix(
-          &wait, absl::string_view(kWaitKey.data(), kWaitKey.size())) &&
-      absl::SimpleAtoi(wait, &wait_ms);
+  const bool valid = absl::SimpleAtoi(fields[0], &poll.position.revision) &&
+                     ParseField(fields[1], kWaitKey, &wait_ms) &&
+                     ParseField(fields[2], kEraKey, &poll.position.era);
   if (!valid) return std::nullopt;
   poll.wait = milliseconds(std::min(wait_ms, kMaxWaitMs));
   return poll;
@@ -68,10 +76,11 @@
   for (const ItemChange& it : result.changes) {
     changes.push_back({{"key", it.item.key},
                        {"value", absl::Base64Escape(it.item.value)},
-                       {"revision", it.item.revision},
+                       {"revision", it.item.position.revision},
                        {"removed", it.removed}});
   }
-  return json{{"as_of", result.as_of},
+  return json{{"as_of", result.as_of.revision},
+              {"era", result.as_of.era},
               {"age_ms", result.copy->age.count()},
               {"waited_ms", result.copy->waited.count()},
               {"changes", std::move(changes)}}
@@ -84,13 +93,14 @@
     const json object = json::parse(body);
     ChangesResult result{
         .status = absl::OkStatus(),
-        .as_of = object.at("as_of").get<std::uint64_t>(),
+        .as_of = {.era = object.at("era").get<std::uint64_t>(),
+                  .revision = object.at("as_of").get<std::uint64_t>()},
         .copy = CopyOfStore{
             .age = milliseconds(object.at("age_ms").get<std::uint32_t>()),
             .waited =
                 milliseconds(object.at("waited_ms").get<std::uint32_t>())}};
     for (const json& it : object.at("changes")) {
-      result.changes.push_back(DecodeChange(it));
+      result.changes.push_back(DecodeChange(it, result.as_of.era));
     }
     return result;
   } catch (const std::exception& error) {
--- a/Source/Core/PlatformClients/RelayCodec.h
+++ b/Source/Core/PlatformClients/RelayCodec.h
@@ -13,7 +13,7 @@
 namespace shallotbeam::platform_clients {
 
 struct RelayPoll {
-  std::uint64_t revision = 0;
+  common::StorePosition position;  // of the sender's copy
   std::chrono::milliseconds wait{0};
 };
 
--- a/Source/Core/PlatformClients/RelayedStore.cpp
+++ b/Source/Core/PlatformClients/RelayedStore.cpp
@@ -53,33 +53,36 @@
 }
 
 void RelayedStore::AwaitChanges(const std::string& prefix,
-                                std::uint64_t revision,
+                                common::StorePosition position,
                                 std::chrono::milliseconds wait,
                                 std::function<void(ChangesResult)> done) {
   Relay* const relay = prefix.empty() ? UsableRelay() : nullptr;
   if (relay == nullptr) {
-    return store_.AwaitChanges(prefix, revision, wait, std::move(done));
+    return store_.AwaitChanges(prefix, position, wait, std::move(done));
   }
-  const RelayPoll poll{.revision = revision, .wait = options_.poll_wait};
+  const RelayPoll poll{.position = position, .wait = options_.poll_wait};
   client_.Fetch(relay->endpoint,
                 {.method = "GET", .target = EncodeRelayPoll(poll)},
                 poll.wait + options_.response_timeout,
-                [this, relay, prefix, revision, wait, sent = clock_.Now(),
+                [this, relay, prefix, position, wait, sent = clock_.Now(),
                  done = std::move(done)](CallEnd end,
                                          const HttpResponse& response) mutable {
-                  auto result = AcceptResponse(end, response, revision);
+                  auto result = AcceptResponse(end, response, position);
                   if (result) return done(*std::move(result));
                   MarkFailed(*relay, end, response.status, clock_.Now() - sent);
-                  store_.AwaitChanges(prefix, revision, wait, std::move(done));
+                  store_.AwaitChanges(prefix, position, wait, std::move(done));
                 });
 }
 
 std::optional<ChangesResult> RelayedStore::AcceptResponse(
-    CallEnd end, const HttpResponse& response, std::uint64_t revision) const {
+    CallEnd end, const HttpResponse& response,
+    common::StorePosition position) const {
   if (end != CallEnd::kComplete || response.status != kOk) return std::nullopt;
   auto result = DecodeRelayResult(response.body);
-  // A relay that is behind confirms nothing.
-  if (!result || result->as_of < revision) return std::nullopt;
+  // A relay that is behind, or in another era, confirms nothing.
+  const bool usable =
+      result && result->as_of.era == position.era && result->as_of >= position;
+  if (!usable) return std::nullopt;
   return result;
 }
 
--- a/Source/Core/PlatformClients/RelayedStore.h
+++ b/Source/Core/PlatformClients/RelayedStore.h
@@ -37,7 +37,7 @@
                const common::Clock& clock, RelayedStoreOptions options);
   void List(const std::string& prefix, const std::string& after,
             std::function<void(ListResult)> done) override;
-  void AwaitChanges(const std::string& prefix, std::uint64_t revision,
+  void AwaitChanges(const std::string& prefix, common::StorePosition position,
                     std::chrono::milliseconds wait,
                     std::function<void(ChangesResult)> done) override;
 
@@ -51,7 +51,7 @@
   // Absent if the response can't be used.
   std::optional<ChangesResult> AcceptResponse(
       transport::CallEnd end, const transport::HttpResponse& response,
-      std::uint64_t revision) const;
+      common::StorePosition position) const;
   void MarkFailed(Relay& relay, transport::CallEnd end, int status,
                   common::Duration call_time);
 
--- a/Source/Core/PlatformClients/StoreSession.cpp
+++ b/Source/Core/PlatformClients/StoreSession.cpp
@@ -33,12 +33,14 @@
 
 // Completes a list: reports items that are no longer in the list as removed.
 void FinishList(StoreSession& session, StoreUpdate* update) {
-  for (const auto& [key, revision] : session.revisions) {
+  for (const auto& [key, position] : session.positions) {
     if (session.listed.count(key) != 0) continue;
-    update->changes.push_back({.item = {.key = key}, .removed = true});
+    update->changes.push_back(
+        {.item = {.key = key, .position = session.list_as_of},
+         .removed = true});
   }
-  session.revisions = std::exchange(session.listed, {});
-  session.revision = session.list_as_of;
+  session.positions = std::exchange(session.listed, {});
+  session.position = session.list_as_of;
   session.confirmed_at = session.list_sent;
   session.synced = true;
   update->resynced = true;
@@ -50,6 +52,28 @@
   session.list_after.clear();
 }
 
+// Records the era that an answered call states. Returns whether the copy or the
+// unfinished list is of an earlier one and has to be listed anew.
+bool EnterEra(StoreSession& session, common::TimePoint now, std::uint64_t era,
+              StoreUpdate* update) {
+  if (era == session.era) return false;
+  const bool first = !session.confirmed_at && session.list_after.empty();
+  session.era = era;
+  if (first) return false;
+  // Entries may be missing that their owners write again, as after an outage.
+  session.reconnected = now;
+  update->restored = true;
+  StartList(session);
+  return true;
+}
+
+// A response from before the store was restored that arrives late is none.
+absl::Status StatusOf(const StoreSession& session, const absl::Status& status,
+                      common::StorePosition as_of) {
+  if (!status.ok() || as_of.era >= session.era) return status;
+  return absl::UnavailableError("response of an earlier era");
+}
+
 std::chrono::milliseconds NextChangeDelay(const StoreSession& session,
                                           common::TimePoint now) {
   const StoreSessionOptions& options = session.options;
@@ -99,22 +123,27 @@
   session.call_wait =
       std::clamp(session.options.poll_wait - age, session.options.min_poll_wait,
                  session.options.poll_wait);
-  return PollCall{.revision = session.revision, .wait = session.call_wait};
+  return PollCall{.position = session.position, .wait = session.call_wait};
 }
 
 StoreUpdate OnListed(StoreSession& session, common::TimePoint now,
                      const ListResult& result) {
   StoreUpdate update;
-  if (!EndCall(session, now, result.status, &update)) return update;
+  const absl::Status status = StatusOf(session, result.status, result.as_of);
+  if (!EndCall(session, now, status, &update)) return update;
+  const bool next_page = !session.list_after.empty();
+  if (EnterEra(session, now, result.as_of.era, &update) && next_page) {
+    return update;
+  }
   const bool first_page = session.list_after.empty();
   if (first_page) {
     session.list_as_of = result.as_of;
     session.list_sent = session.call_sent;
   }
   for (const StoredItem& it : result.items) {
-    session.listed[it.key] = it.revision;
-    const auto known = session.revisions.find(it.key);
-    if (known != session.revisions.end() && known->second == it.revision) {
+    session.listed[it.key] = it.position;
+    const auto known = session.positions.find(it.key);
+    if (known != session.positions.end() && known->second == it.position) {
       continue;
     }
     update.changes.push_back({.item = it});
@@ -130,25 +159,27 @@
 StoreUpdate OnChanges(StoreSession& session, common::TimePoint now,
                       const ChangesResult& result) {
   StoreUpdate update;
-  if (!EndCall(session, now, result.status, &update)) {
-    if (absl::IsOutOfRange(result.status)) StartList(session);
+  const absl::Status status = StatusOf(session, result.status, result.as_of);
+  if (!EndCall(session, now, status, &update)) {
+    if (absl::IsOutOfRange(status)) StartList(session);
     return update;
   }
+  if (EnterEra(session, now, result.as_of.era, &update)) return update;
   // An empty response after the whole wait confirms that nothing had changed
   // by the end of the wait.
   const common::TimePoint confirmed = ConfirmedAt(session, now, result);
   session.confirmed_at =
       std::max(session.confirmed_at.value_or(confirmed), confirmed);
-  session.revision = std::max(session.revision, result.as_of);
+  session.position = std::max(session.position, result.as_of);
   for (const ItemChange& it : result.changes) {
-    const auto known = session.revisions.find(it.item.key);
+    const auto known = session.positions.find(it.item.key);
     const bool outdated =
-        known != session.revisions.end() && known->second > it.item.revision;
+        known != session.positions.end() && known->second > it.item.position;
     if (outdated) continue;
     if (it.removed) {
-      session.revisions.erase(it.item.key);
+      session.positions.erase(it.item.key);
     } else {
-      session.revisions[it.item.key] = it.item.revision;
+      session.positions[it.item.key] = it.item.position;
     }
     update.changes.push_back(it);
   }
--- a/Source/Core/PlatformClients/StoreSession.h
+++ b/Source/Core/PlatformClients/StoreSession.h
@@ -13,8 +13,9 @@
 #include "PlatformClients/ItemStore.h"
 
 // Keeps a local copy of all items of the store: lists them once, then follows
-// changes by long polling. A state machine without I/O: the owner makes the
-// calls and reports their results.
+// changes by long polling. Lists them again if the store no longer has the
+// changes in between, or was restored from an older copy. A state machine
+// without I/O: the owner makes the calls and reports their results.
 namespace shallotbeam::platform_clients {
 
 struct StoreSessionOptions {
@@ -43,7 +44,7 @@
   std::string after;  // list items whose keys sort after this one
 };
 struct PollCall {
-  std::uint64_t revision = 0;
+  common::StorePosition position;
   std::chrono::milliseconds wait{0};
 };
 using StoreCall = std::variant<ListCall, PollCall>;
@@ -56,19 +57,23 @@
   bool disconnected = false;  // the first failure after a success
   bool reconnected =
       false;  // the first success after failures, or of all calls
+  // The store was restored from an older copy; it is listed anew.
+  bool restored = false;
 };
 
 struct StoreSession {
   StoreSessionOptions options;
-  // Revisions of the items in the copy, by key.
-  std::unordered_map<std::string, std::uint64_t> revisions;
-  // Revisions of the items on the pages of an unfinished list, by key.
-  std::unordered_map<std::string, std::uint64_t> listed;
-  bool synced = false;           // the list is complete
-  std::string list_after;        // last key of the previous page
-  std::uint64_t list_as_of = 0;  // store revision of the first page
-  common::TimePoint list_sent;   // when the first page was requested
-  std::uint64_t revision = 0;    // the copy has all changes up to this revision
+  // Positions of the items in the copy, by key.
+  std::unordered_map<std::string, common::StorePosition> positions;
+  // Positions of the items on the pages of an unfinished list, by key.
+  std::unordered_map<std::string, common::StorePosition> listed;
+  bool synced = false;               // the list is complete
+  std::string list_after;            // last key of the previous page
+  common::StorePosition list_as_of;  // of the first page
+  common::TimePoint list_sent;       // when the first page was requested
+  // The copy has all changes up to this position.
+  common::StorePosition position;
+  std::uint64_t era = 0;  // latest era that the store has stated
   bool in_flight = false;
   bool reachable = false;
   common::TimePoint call_sent;
@@ -78,7 +83,8 @@
   std::chrono::milliseconds change_delay{0};  // after the last poll
   // Latest time at which the copy is known to have been complete and current.
   std::optional<common::TimePoint> confirmed_at;
-  std::optional<common::TimePoint> reconnected;  // end of the last outage
+  // End of the last outage, or the time at which a restored store was noticed.
+  std::optional<common::TimePoint> reconnected;
 };
 
 // Returns the call to make now, if any.
--- a/Source/UnitTests/Core/Balancing/UpstreamTableTest.cpp
+++ b/Source/UnitTests/Core/Balancing/UpstreamTableTest.cpp
@@ -87,7 +87,7 @@
   const auto entry = [](std::uint64_t revision) {
     UpstreamEntry built = EntryOf(1);
     built.endpoint = {.address = "10.0.0.1", .port = 80};
-    built.revision = revision;
+    built.position.revision = revision;
     return built;
   };
   for (const bool in_order : {true, false}) {
--- a/Source/UnitTests/Core/Gateway/ChangeRelayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ChangeRelayTest.cpp
@@ -21,7 +21,7 @@
             std::function<void(clients::ListResult)> done) override {
     done({.status = absl::UnavailableError("")});
   }
-  void AwaitChanges(const std::string&, std::uint64_t,
+  void AwaitChanges(const std::string&, common::StorePosition,
                     std::chrono::milliseconds,
                     std::function<void(clients::ChangesResult)> done) override {
     done({.status = absl::UnavailableError("")});
@@ -54,14 +54,14 @@
     clients::NextCall(session, clock.Now());
     relay.OnUpdate(clients::OnListed(
         session, clock.Now(),
-        {.status = absl::OkStatus(), .items = {}, .as_of = 10}));
+        {.status = absl::OkStatus(), .items = {}, .as_of = {.revision = 10}}));
   }
 
   void StartPoll(std::uint64_t revision) {
     result.reset();
-    follower.AwaitChanges("", revision, 3s, [this](clients::ChangesResult it) {
-      result = std::move(it);
-    });
+    follower.AwaitChanges(
+        "", {.revision = revision}, 3s,
+        [this](clients::ChangesResult it) { result = std::move(it); });
     Run();
   }
   void Run() {
@@ -86,14 +86,15 @@
 BOOST_AUTO_TEST_CASE(ChangeIsPassedOnAtOnce) {
   StartPoll(10);
   BOOST_CHECK(!result);
-  ReceiveFromStore(
-      {.status = absl::OkStatus(),
-       .changes = {{.item = {.key = "a", .value = "1", .revision = 12}}},
-       .as_of = 12});
+  ReceiveFromStore({.status = absl::OkStatus(),
+                    .changes = {{.item = {.key = "a",
+                                          .value = "1",
+                                          .position = {.revision = 12}}}},
+                    .as_of = {.revision = 12}});
   BOOST_REQUIRE(result);
   BOOST_CHECK(result->status.ok());
   BOOST_REQUIRE_EQUAL(result->changes.size(), 1);
-  BOOST_CHECK_EQUAL(result->as_of, 12);
+  BOOST_CHECK_EQUAL(result->as_of.revision, 12);
 }
 
 // Guards against a revoked credential that is accepted because a copy counts as
@@ -155,6 +156,26 @@
   BOOST_CHECK(!result->status.ok());
 }
 
+// Guards against a relay that answers a follower of another era as if its
+// changes followed: the follower must list.
+BOOST_AUTO_TEST_CASE(FollowerOfAnotherEraIsSentToTheStore) {
+  for (const common::StorePosition position :
+       {common::StorePosition{1, 10}, common::StorePosition{1, 5}}) {
+    result.reset();
+    follower.AwaitChanges("", position, 3s, [this](clients::ChangesResult it) {
+      result = std::move(it);
+    });
+    Run();
+    BOOST_REQUIRE(result);
+    BOOST_CHECK(!result->copy);
+    clock.Advance(4s);
+    clients::NextCall(session, clock.Now());
+    relay.OnUpdate(clients::OnChanges(
+        session, clock.Now(),
+        {.status = absl::OkStatus(), .as_of = {.revision = 10}}));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::gateway
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -155,7 +155,7 @@
 }
 
 void FakeItemStore::AwaitChanges(
-    const std::string& /*prefix*/, std::uint64_t /*revision*/,
+    const std::string& /*prefix*/, common::StorePosition /*position*/,
     std::chrono::milliseconds /*wait*/,
     std::function<void(platform_clients::ChangesResult)> done) {
   poll_ = std::move(done);
@@ -289,8 +289,8 @@
   gateway->OnTick();
   pending_.push_back({.catalogue = catalogue});
   store.CompleteList({.status = absl::OkStatus(),
-                      .items = {{.key = "0", .revision = 1}},
-                      .as_of = 1});
+                      .items = {{.key = "0", .position = {.revision = 1}}},
+                      .as_of = {.revision = 1}});
 }
 
 void GatewayFixture::Change(FleetChange change) {
@@ -304,12 +304,13 @@
     gateway->OnTick();
   }
   platform_clients::ChangesResult result{.status = absl::OkStatus(),
-                                         .as_of = revision_};
+                                         .as_of = {.revision = revision_}};
   if (with_unreadable_items) {
-    result.changes.push_back({.item = {.key = "x", .revision = revision_}});
+    result.changes.push_back(
+        {.item = {.key = "x", .position = {.revision = revision_}}});
   }
   result.changes.push_back({.item = {.key = std::to_string(pending_.size() - 1),
-                                     .revision = revision_}});
+                                     .position = {.revision = revision_}}});
   store.CompletePoll(std::move(result));
 }
 
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -22,7 +22,7 @@
   void List(const std::string& prefix, const std::string& after,
             std::function<void(platform_clients::ListResult)> done) override;
   void AwaitChanges(
-      const std::string& prefix, std::uint64_t revision,
+      const std::string& prefix, common::StorePosition position,
       std::chrono::milliseconds wait,
       std::function<void(platform_clients::ChangesResult)> done) override;
 
--- a/Source/UnitTests/Core/PlatformClients/ChangeLogTest.cpp
+++ b/Source/UnitTests/Core/PlatformClients/ChangeLogTest.cpp
@@ -12,11 +12,12 @@
 ItemChange Put(const std::string& key, std::uint64_t revision) {
   return {.item = {.key = key,
                    .value = std::to_string(revision),
-                   .revision = revision}};
+                   .position = {.revision = revision}}};
 }
 
 ItemChange Remove(const std::string& key, std::uint64_t revision) {
-  return {.item = {.key = key, .revision = revision}, .removed = true};
+  return {.item = {.key = key, .position = {.revision = revision}},
+          .removed = true};
 }
 
 using Items = std::map<std::string, std::string>;
@@ -38,7 +39,7 @@
 BOOST_AUTO_TEST_CASE(FollowersEndWithTheItemsOfTheStore) {
   test::CheckProperty("followers catch up", [] {
     ChangeLog log{.options = {.max_removed = 3}};
-    RestartLog(log, 10);
+    RestartLog(log, {.revision = 10});
     Items store;
     Items follower;
     std::uint64_t follower_revision = 10;
@@ -54,7 +55,7 @@
       Apply(change, &store);
       RecordChange(log, change);
       if (*rc::gen::inRange(0, 4) != 0) continue;
-      const auto changes = ChangesSince(log, follower_revision);
+      const auto changes = ChangesSince(log, {.revision = follower_revision});
       if (changes) {
         for (const ItemChange& it : *changes) Apply(it, &follower);
       } else {
@@ -75,8 +76,8 @@
     RecordChange(log, Remove("b" + std::to_string(i), 1'000 + i));
   }
   BOOST_CHECK_EQUAL(log.changes.size(), 3);
-  BOOST_CHECK(!ChangesSince(log, 1'000).has_value());
-  BOOST_CHECK_EQUAL(ChangesSince(log, 1'007)->size(), 2);
+  BOOST_CHECK(!ChangesSince(log, {.revision = 1'000}).has_value());
+  BOOST_CHECK_EQUAL(ChangesSince(log, {.revision = 1'007})->size(), 2);
 }
 
 // Guards against an older change that arrives late and replaces a newer one.
@@ -84,9 +85,21 @@
   ChangeLog log;
   RecordChange(log, Put("a", 7));
   RecordChange(log, Remove("a", 5));
-  const auto changes = ChangesSince(log, 0);
+  const auto changes = ChangesSince(log, {.revision = 0});
   BOOST_REQUIRE_EQUAL(changes->size(), 1);
-  BOOST_CHECK_EQUAL(changes->front().item.revision, 7);
+  BOOST_CHECK_EQUAL(changes->front().item.position.revision, 7);
+}
+
+// Guards against changes of one era that are taken for changes of another.
+BOOST_AUTO_TEST_CASE(PositionOfAnotherEraHasNoChanges) {
+  ChangeLog log;
+  RestartLog(log, {2, 7});
+  RecordChange(log, {.item = {.key = "a", .position = {2, 8}}});
+  BOOST_CHECK(!ChangesSince(log, {1, 7}));
+  BOOST_CHECK(!ChangesSince(log, {1, 12}));
+  BOOST_CHECK(!ChangesSince(log, {3, 7}));
+  BOOST_REQUIRE(ChangesSince(log, {2, 7}));
+  BOOST_CHECK_EQUAL(ChangesSince(log, {2, 7})->size(), 1);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Source/UnitTests/Core/PlatformClients/RelayedStoreTest.cpp
+++ b/Source/UnitTests/Core/PlatformClients/RelayedStoreTest.cpp
@@ -23,11 +23,11 @@
             std::function<void(ListResult)> done) override {
     done({.status = absl::OkStatus()});
   }
-  void AwaitChanges(const std::string&, std::uint64_t revision,
+  void AwaitChanges(const std::string&, common::StorePosition position,
                     std::chrono::milliseconds,
                     std::function<void(ChangesResult)> done) override {
     ++polls;
-    done({.status = absl::OkStatus(), .as_of = revision});
+    done({.status = absl::OkStatus(), .as_of = position});
   }
 
   int polls = 0;
@@ -37,10 +37,10 @@
   return {.status = absl::OkStatus(),
           .changes = {{.item = {.key = "op/config",
                                 .value = std::string("\0\xff", 2),
-                                .revision = as_of}},
-                      {.item = {.key = "gone", .revision = as_of},
+                                .position = {.revision = as_of}}},
+                      {.item = {.key = "gone", .position = {.revision = as_of}},
                        .removed = true}},
-          .as_of = as_of,
+          .as_of = {.revision = as_of},
           .copy = CopyOfStore{.age = 40ms, .waited = 300ms}};
 }
 
@@ -69,7 +69,7 @@
 
   ChangesResult Poll(std::uint64_t revision) {
     std::optional<ChangesResult> result;
-    relayed.AwaitChanges("", revision, 3s,
+    relayed.AwaitChanges("", {.revision = revision}, 3s,
                          [&](ChangesResult it) { result = std::move(it); });
     for (int i = 0; i < 500 && !result; ++i) context.run_one_for(10ms);
     BOOST_REQUIRE(result.has_value());
@@ -95,7 +95,7 @@
   BOOST_REQUIRE_EQUAL(result.changes.size(), 2);
   BOOST_CHECK(result.changes[0].item.value == std::string("\0\xff", 2));
   BOOST_CHECK(result.changes[1].removed);
-  BOOST_CHECK_EQUAL(result.as_of, 9);
+  BOOST_CHECK_EQUAL(result.as_of.revision, 9);
   BOOST_CHECK(result.copy->age == 40ms);
   BOOST_CHECK(result.copy->waited == 300ms);
 }
@@ -128,20 +128,33 @@
   }
 }
 
+// Guards against a follower that takes the changes of a relay in another era
+// for changes after its own copy.
+BOOST_AUTO_TEST_CASE(RelayOfAnotherEraIsNotUsed) {
+  ChangesResult result = Result(9);
+  result.as_of.era = 2;
+  RespondWith(200, EncodeRelayResult(result));
+  Poll(5);
+  BOOST_CHECK_EQUAL(store.polls, 1);
+}
+
 BOOST_AUTO_TEST_CASE(EncodedPollsAreDecoded) {
   test::CheckProperty("polls survive encoding", [] {
     const RelayPoll poll{
-        .revision = *rc::gen::arbitrary<std::uint64_t>(),
+        .position = {.era = *rc::gen::arbitrary<std::uint64_t>(),
+                     .revision = *rc::gen::arbitrary<std::uint64_t>()},
         .wait = std::chrono::milliseconds(*rc::gen::inRange(0, 30'001))};
     const auto decoded = DecodeRelayPoll(EncodeRelayPoll(poll));
     RC_ASSERT(decoded.has_value());
-    RC_ASSERT(decoded->revision == poll.revision);
+    RC_ASSERT(decoded->position == poll.position);
     RC_ASSERT(decoded->wait == poll.wait);
   });
   for (const char* it :
        {"", "/changes", "/changes?after=", "/changes?after=1",
         "/changes?after=1&wait_ms=", "/changes?after=x&wait_ms=1",
-        "/changes?after=1&wait_ms=-1", "/changes?after=1&wait_ms=1&more=1"}) {
+        "/changes?after=1&wait_ms=1", "/changes?after=1&wait_ms=-1&era=1",
+        "/changes?after=1&wait_ms=1&era=",
+        "/changes?after=1&wait_ms=1&more=1"}) {
     BOOST_CHECK_MESSAGE(!DecodeRelayPoll(it).has_value(), it);
   }
 }
--- a/Source/UnitTests/Core/PlatformClients/StoreSessionTest.cpp
+++ b/Source/UnitTests/Core/PlatformClients/StoreSessionTest.cpp
@@ -11,17 +11,17 @@
 using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
 
 StoredItem Item(const std::string& key, std::uint64_t revision) {
-  return {.key = key, .value = "v", .revision = revision};
+  return {.key = key, .value = "v", .position = {.revision = revision}};
 }
 
 ChangesResult Empty(std::uint64_t as_of) {
-  return {.status = absl::OkStatus(), .as_of = as_of};
+  return {.status = absl::OkStatus(), .as_of = {.revision = as_of}};
 }
 
 ChangesResult Put(const std::string& key, std::uint64_t revision) {
   return {.status = absl::OkStatus(),
           .changes = {{.item = Item(key, revision)}},
-          .as_of = revision};
+          .as_of = {.revision = revision}};
 }
 
 struct Fixture {
@@ -36,7 +36,7 @@
     OnListed(session, clock.Now(),
              {.status = absl::OkStatus(),
               .items = std::move(items),
-              .as_of = as_of});
+              .as_of = {.revision = as_of}});
   }
 
   PollCall Poll() {
@@ -58,14 +58,16 @@
            {.status = absl::OkStatus(),
             .items = {Item("a", 3)},
             .truncated = true,
-            .as_of = 10});
+            .as_of = {.revision = 10}});
   BOOST_CHECK(!AgeOf(session, clock.Now()));
   const auto call = Next();
   BOOST_REQUIRE(call);
   BOOST_CHECK_EQUAL(std::get<ListCall>(*call).after, "a");
   OnListed(session, clock.Now(),
-           {.status = absl::OkStatus(), .items = {Item("b", 12)}, .as_of = 14});
-  BOOST_CHECK_EQUAL(Poll().revision, 10);
+           {.status = absl::OkStatus(),
+            .items = {Item("b", 12)},
+            .as_of = {.revision = 14}});
+  BOOST_CHECK_EQUAL(Poll().position.revision, 10);
 }
 
 // Guards against an older state of an item that replaces a newer one, such as
@@ -77,16 +79,16 @@
            {.status = absl::OkStatus(),
             .items = {Item("a", 3)},
             .truncated = true,
-            .as_of = 10});
+            .as_of = {.revision = 10}});
   Next();
   OnListed(session, clock.Now(),
            {.status = absl::OkStatus(),
             .items = {Item("b", 12), Item("c", 13)},
-            .as_of = 14});
+            .as_of = {.revision = 14}});
   Poll();
   ChangesResult result = Put("b", 11);
   result.changes.push_back(
-      {.item = {.key = "c", .revision = 12}, .removed = true});
+      {.item = {.key = "c", .position = {.revision = 12}}, .removed = true});
   result.changes.push_back({.item = Item("a", 13)});
   const StoreUpdate update = OnChanges(session, clock.Now(), result);
   BOOST_REQUIRE_EQUAL(update.changes.size(), 1);
@@ -172,9 +174,10 @@
   OnChanges(session, clock.Now(), {.status = absl::OutOfRangeError("gone")});
   const auto call = Next();
   BOOST_REQUIRE(call && std::holds_alternative<ListCall>(*call));
-  const StoreUpdate update = OnListed(
-      session, clock.Now(),
-      {.status = absl::OkStatus(), .items = {Item("b", 2)}, .as_of = 9});
+  const StoreUpdate update = OnListed(session, clock.Now(),
+                                      {.status = absl::OkStatus(),
+                                       .items = {Item("b", 2)},
+                                       .as_of = {.revision = 9}});
   BOOST_CHECK(update.resynced);
   BOOST_REQUIRE_EQUAL(update.changes.size(), 1);
   BOOST_CHECK_EQUAL(update.changes[0].item.key, "a");
@@ -234,6 +237,119 @@
   BOOST_CHECK(Next().has_value());
 }
 
+// A store in its second era, after a restore from a copy at revision 7.
+struct RestoredFixture : Fixture {
+  RestoredFixture() {
+    session.options.change_delay = 0ms;
+    ListIn(1, 10, {{.key = "a", .value = "lost", .position = {1, 9}}});
+  }
+
+  StoreUpdate ListIn(std::uint64_t era, std::uint64_t revision,
+                     std::vector<StoredItem> items) {
+    const auto call = Next();
+    BOOST_REQUIRE(call && std::holds_alternative<ListCall>(*call));
+    return OnListed(session, clock.Now(),
+                    {.status = absl::OkStatus(),
+                     .items = std::move(items),
+                     .as_of = {era, revision}});
+  }
+  StoreUpdate PollReturns(std::uint64_t era, std::uint64_t revision,
+                          std::vector<ItemChange> changes = {}) {
+    Poll();
+    return OnChanges(session, clock.Now(),
+                     {.status = absl::OkStatus(),
+                      .changes = std::move(changes),
+                      .as_of = {era, revision}});
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(RestoredStoreIsListedAnew, RestoredFixture) {
+  // Guards against changes below the polled revision that are missed: the
+  // restored store has passed it again and answers without a 410.
+  const auto update = PollReturns(
+      2, 12, {{.item = {.key = "b", .value = "new", .position = {2, 12}}}});
+  BOOST_CHECK(update.restored);
+  BOOST_CHECK(update.changes.empty());
+  const auto listed =
+      ListIn(2, 12,
+             {{.key = "a", .value = "older", .position = {2, 3}},
+              {.key = "b", .value = "new", .position = {2, 12}}});
+  BOOST_CHECK_EQUAL(listed.changes.size(), 2);
+  BOOST_CHECK((Poll().position == common::StorePosition{2, 12}));
+}
+
+// Guards against an item that counts as unchanged because the restored store
+// has given its revision to another value.
+BOOST_FIXTURE_TEST_CASE(EqualRevisionOfALaterEraIsAChange, RestoredFixture) {
+  PollReturns(2, 9);
+  const auto listed =
+      ListIn(2, 9, {{.key = "a", .value = "other", .position = {2, 9}}});
+  BOOST_REQUIRE_EQUAL(listed.changes.size(), 1);
+  BOOST_CHECK_EQUAL(listed.changes[0].item.value, "other");
+}
+
+// Guards against changes of a restored store that are dropped as older than the
+// copy, because its revisions have gone back.
+BOOST_FIXTURE_TEST_CASE(LowerRevisionOfALaterEraIsApplied, RestoredFixture) {
+  PollReturns(2, 7);
+  ListIn(2, 7, {{.key = "a", .value = "older", .position = {2, 5}}});
+  BOOST_CHECK((Poll().position == common::StorePosition{2, 7}));
+  const auto update = OnChanges(
+      session, clock.Now(),
+      {.status = absl::OkStatus(),
+       .changes = {{.item = {.key = "a", .value = "x", .position = {2, 8}}}},
+       .as_of = {2, 8}});
+  BOOST_REQUIRE_EQUAL(update.changes.size(), 1);
+  BOOST_CHECK_EQUAL(update.changes[0].item.value, "x");
+}
+
+// Guards against a response from before the restore that arrives after it, and
+// against a copy that it confirms.
+BOOST_FIXTURE_TEST_CASE(ResponseOfAnEarlierEraIsIgnored, RestoredFixture) {
+  PollReturns(2, 7);
+  ListIn(2, 7, {{.key = "a", .value = "older", .position = {2, 5}}});
+  const auto confirmed = session.confirmed_at;
+  clock.Advance(1s);
+  const auto update = PollReturns(
+      1, 11, {{.item = {.key = "a", .value = "lost", .position = {1, 11}}}});
+  BOOST_CHECK(update.changes.empty());
+  BOOST_CHECK(session.confirmed_at == confirmed);
+  clock.Advance(1s);
+  BOOST_CHECK((Poll().position == common::StorePosition{2, 7}));
+}
+
+// Guards against a list whose pages come from before and after a restore.
+BOOST_FIXTURE_TEST_CASE(ListIsNotMixedFromTwoEras, Fixture) {
+  Next();
+  OnListed(session, clock.Now(),
+           {.status = absl::OkStatus(),
+            .items = {{.key = "a", .position = {1, 3}}},
+            .truncated = true,
+            .as_of = {1, 10}});
+  Next();
+  OnListed(session, clock.Now(),
+           {.status = absl::OkStatus(),
+            .items = {{.key = "b", .position = {2, 4}}},
+            .as_of = {2, 6}});
+  BOOST_CHECK(!session.synced);
+  const auto call = Next();
+  BOOST_REQUIRE(call && std::holds_alternative<ListCall>(*call));
+  BOOST_CHECK(std::get<ListCall>(*call).after.empty());
+}
+
+// Guards against an upstream that is dropped because it registered in the time
+// that the restored store has lost, and has not written again yet.
+BOOST_FIXTURE_TEST_CASE(RestoreCountsAsTheEndOfAnOutage, RestoredFixture) {
+  clock.Advance(10s);
+  PollReturns(2, 7);
+  const auto noticed = clock.Now();
+  const auto listed = ListIn(2, 7, {});
+  BOOST_REQUIRE_EQUAL(listed.changes.size(), 1);
+  BOOST_CHECK(listed.changes[0].removed);
+  BOOST_CHECK((listed.changes[0].item.position == common::StorePosition{2, 7}));
+  BOOST_CHECK(session.reconnected == noticed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::platform_clients
--- a/Source/UnitTests/Platform/StoreClientTest.cpp
+++ b/Source/UnitTests/Platform/StoreClientTest.cpp
@@ -17,11 +17,12 @@
 struct Fixture {
   boost::asio::io_context context;
   std::string body;
+  transport::Headers headers;
   std::shared_ptr<transport::HttpServer> server =
       *transport::HttpServer::Listen(
           context, {.endpoint = {.address = "127.0.0.1", .port = 0}},
           [this](const std::shared_ptr<transport::HttpExchange>& it) {
-            it->Send({.status = 200, .headers = {}, .body = body});
+            it->Send({.status = 200, .headers = headers, .body = body});
           });
   transport::HttpClient client{context};
   StoreClient store{client, {"127.0.0.1", server->Port()}};
@@ -80,6 +81,25 @@
   BOOST_CHECK(result.changes[1].removed);
 }
 
+// Guards against revisions of a restored store that are compared with those
+// from before.
+BOOST_AUTO_TEST_CASE(EraOfTheStoreIsDecoded) {
+  body = R"({"items":[{"key":"a","revision":3}],
+             "events":[{"key":"a","revision":3}],"asOf":4})";
+  BOOST_CHECK((List().as_of == common::StorePosition{0, 4}));
+  headers = {{"Store-Era", "7"}};
+  BOOST_CHECK((List().as_of == common::StorePosition{7, 4}));
+  BOOST_CHECK((List().items.at(0).position == common::StorePosition{7, 3}));
+  headers = {{"store-era", "8"}};
+  BOOST_CHECK((Poll().as_of == common::StorePosition{8, 4}));
+  BOOST_CHECK(
+      (Poll().changes.at(0).item.position == common::StorePosition{8, 3}));
+  for (const char* it : {"", "-1", "x", "1e3"}) {
+    headers = {{"Store-Era", it}};
+    BOOST_CHECK_EQUAL(List().as_of.era, 0);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::platform_adapter
