Ignore entries of upstreams that a restored store has brought back

Change: the first entry of an upstream in a new era is ignored where the table knows better: a later incarnation, or that this one drains or was removed. Any later entry of that era is a fresh write. Of two upstreams at one address in two eras, the one that started later uses it.

--- a/Source/Core/Balancing/UpstreamTable.cpp
+++ b/Source/Core/Balancing/UpstreamTable.cpp
@@ -5,8 +5,54 @@
 
 namespace shallotbeam::balancing {
 
+namespace {
+
+// Time for which removed upstreams are remembered.
+constexpr common::Duration kRemovedMemory = std::chrono::seconds(60);
+
+// Whether the entry comes from a restored store and is older than what is known
+// of its upstream. Records its position, so that the next one is accepted.
+bool IsOutdated(UpstreamTable& table, const common::UpstreamName& name,
+                const UpstreamEntry& entry) {
+  const auto removed = table.removed.find(name);
+  if (removed != table.removed.end()) {
+    const bool new_era =
+        entry.position.era >
+        std::exchange(removed->second.position, entry.position).era;
+    return new_era && entry.started <= removed->second.started;
+  }
+  const auto known = table.upstreams.find(name);
+  if (known == table.upstreams.end()) return false;
+  UpstreamEntry& last = known->second.entry;
+  if (entry.position.era <= last.position.era) return false;
+  const bool reverts_draining = last.draining && !entry.draining;
+  const bool outdated = entry.started < last.started ||
+                        (entry.started == last.started && reverts_draining);
+  if (outdated) last.position = entry.position;
+  return outdated;
+}
+
+void RememberRemoved(UpstreamTable& table, const Upstream& upstream,
+                     common::StorePosition position, common::TimePoint now) {
+  table.removed[upstream.name] = {.started = upstream.entry.started,
+                                  .position = position,
+                                  .removed_at = now};
+}
+
+// Whether `a` uses the address that it shares with `b`. Positions of two eras
+// don't tell which entry was written first.
+bool IsLaterAtAddress(const UpstreamEntry& a, const UpstreamEntry& b) {
+  const bool same_era = a.position.era == b.position.era;
+  if (same_era || a.started == b.started) return a.position > b.position;
+  return a.started > b.started;
+}
+
+}  // namespace
+
 UpstreamChange PutEntry(UpstreamTable& table, const common::UpstreamName& name,
                         const UpstreamEntry& entry) {
+  if (IsOutdated(table, name, entry)) return UpstreamChange::kOutdated;
+  table.removed.erase(name);
   const auto [it, added] = table.upstreams.try_emplace(name);
   Upstream& upstream = it->second;
   const bool restarted = !added && upstream.entry.started != entry.started;
@@ -20,7 +66,7 @@
   for (const common::UpstreamName& other :
        UpstreamsAtSameAddress(table, name)) {
     Upstream& sharing = table.upstreams.at(other);
-    const bool newer = entry.position > sharing.entry.position;
+    const bool newer = IsLaterAtAddress(entry, sharing.entry);
     (newer ? sharing : upstream).replaced = true;
   }
   if (added) return UpstreamChange::kAdded;
@@ -47,6 +93,7 @@
 
 UpstreamChange RemoveEntry(UpstreamTable& table,
                            const common::UpstreamName& name,
+                           common::StorePosition position,
                            common::TimePoint now,
                            std::optional<common::TimePoint> store_recovered) {
   const auto it = table.upstreams.find(name);
@@ -57,8 +104,10 @@
   if (after_outage && !upstream.entry.draining && !upstream.leaving) {
     upstream.listed = false;
     upstream.expired_at = *store_recovered;
+    upstream.removed_position = position;
     return UpstreamChange::kUpdated;
   }
+  RememberRemoved(table, upstream, position, now);
   table.upstreams.erase(it);
   return UpstreamChange::kRemoved;
 }
@@ -70,9 +119,15 @@
     const Upstream& upstream = it->second;
     const bool gone = !upstream.listed &&
                       now - upstream.expired_at >= table.options.expiry_grace;
-    if (gone) dropped.push_back(upstream.name);
+    if (gone) {
+      dropped.push_back(upstream.name);
+      RememberRemoved(table, upstream, upstream.removed_position, now);
+    }
     it = gone ? table.upstreams.erase(it) : std::next(it);
   }
+  std::erase_if(table.removed, [now](const auto& removed) {
+    return now - removed.second.removed_at > kRemovedMemory;
+  });
   return dropped;
 }
 
--- a/Source/Core/Balancing/UpstreamTable.h
+++ b/Source/Core/Balancing/UpstreamTable.h
@@ -11,7 +11,10 @@
 #include "Common/Types.h"
 
 // Table of the known upstreams, built from the entries that they keep in the
-// store. An entry that its upstream no longer renews expires there.
+// store. An entry that its upstream no longer renews expires there. After the
+// store was restored from an older copy, entries from before come back; the
+// first entry of an upstream in a new era of the store is ignored where the
+// table knows better. Any later one is a fresh write.
 namespace shallotbeam::balancing {
 
 // An upstream's entry in the store.
@@ -41,7 +44,8 @@
   // Whether the entry is in the store. If it is not, the entry expired during
   // an outage of the store and the upstream is still used.
   bool listed = true;
-  common::TimePoint expired_at;  // valid if not listed
+  common::TimePoint expired_at;            // valid if not listed
+  common::StorePosition removed_position;  // the same
   // Another upstream or incarnation answers at the address, so the entry is out
   // of date.
   bool replaced = false;
@@ -52,9 +56,17 @@
   common::TimePoint paused_until;
 };
 
+// The last incarnation of an upstream whose entry was removed.
+struct RemovedUpstream {
+  std::uint64_t started = 0;
+  common::StorePosition position;  // of the removal
+  common::TimePoint removed_at;
+};
+
 struct UpstreamTable {
   UpstreamTableOptions options;
   std::unordered_map<common::UpstreamName, Upstream> upstreams;
+  std::unordered_map<common::UpstreamName, RemovedUpstream> removed;
 };
 
 enum class UpstreamChange : std::uint8_t {
@@ -63,6 +75,7 @@
   kUpdated,
   kRestarted,  // same name, new incarnation
   kRemoved,
+  kOutdated,  // an entry from before a restore of the store; ignored
 };
 
 // Handles an entry that was written to the store. Two upstreams may share an
@@ -71,11 +84,12 @@
 UpstreamChange PutEntry(UpstreamTable& table, const common::UpstreamName& name,
                         const UpstreamEntry& entry);
 
-// Handles an entry that was removed from the store. `store_recovered` is the
-// end of the store's last outage, during which entries of upstreams that are
-// still alive expire.
+// Handles an entry that was removed from the store at `position`.
+// `store_recovered` is the end of the store's last outage, during which entries
+// of upstreams that are still alive expire.
 UpstreamChange RemoveEntry(UpstreamTable& table,
                            const common::UpstreamName& name,
+                           common::StorePosition position,
                            common::TimePoint now,
                            std::optional<common::TimePoint> store_recovered);
 
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -286,7 +286,7 @@
         common::ToNumber(change.catalogue->version), origin.source,
         call_time / milliseconds(1), origin.copy_age.count());
   }
-  ApplyChange(change);
+  ApplyChange(change, item.item.position);
 }
 
 bool Gateway::IsRelayed(const FleetChange& change) const {
@@ -297,7 +297,8 @@
          !balancing::IsSameState(known->second.entry, *change.entry);
 }
 
-void Gateway::ApplyChange(const FleetChange& change) {
+void Gateway::ApplyChange(const FleetChange& change,
+                          common::StorePosition position) {
   if (change.catalogue) {
     const auto known_version = table_ == nullptr ? common::ConfigVersion::kNone
                                                  : table_->Source().version;
@@ -316,12 +317,13 @@
   const balancing::UpstreamChange result =
       change.entry
           ? balancing::PutEntry(upstreams_, change.upstream, *change.entry)
-          : balancing::RemoveEntry(upstreams_, change.upstream, now,
+          : balancing::RemoveEntry(upstreams_, change.upstream, position, now,
                                    store_.reconnected);
   Log(Subsystem::kMembership, LogLevel::kInfo,
       "event=upstream_entry upstream={} change={} draining={}",
       change.upstream.value, common::ToNumber(result),
       change.entry && change.entry->draining);
+  if (result == balancing::UpstreamChange::kOutdated) return;
   if (result == balancing::UpstreamChange::kRemoved ||
       result == balancing::UpstreamChange::kRestarted) {
     ForgetUpstream(change.upstream);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -120,7 +120,7 @@
   void ApplyItem(const platform_clients::ItemChange& item,
                  const FleetChange& change, const ResultOrigin& origin,
                  common::Duration call_time);
-  void ApplyChange(const FleetChange& change);
+  void ApplyChange(const FleetChange& change, common::StorePosition position);
   // Whether other gateways need the change. Upstreams renew their entries about
   // once a second, mostly without a change of their state.
   bool IsRelayed(const FleetChange& change) const;
--- a/Source/UnitTests/Core/Balancing/UpstreamTableTest.cpp
+++ b/Source/UnitTests/Core/Balancing/UpstreamTableTest.cpp
@@ -26,7 +26,8 @@
 BOOST_AUTO_TEST_CASE(RemovedEntryIsGone) {
   UpstreamTable table;
   BOOST_CHECK(PutEntry(table, kName, EntryOf(1)) == UpstreamChange::kAdded);
-  BOOST_CHECK(RemoveEntry(table, kName, kNow, {}) == UpstreamChange::kRemoved);
+  BOOST_CHECK(RemoveEntry(table, kName, {}, kNow, {}) ==
+              UpstreamChange::kRemoved);
   BOOST_CHECK(table.upstreams.empty());
 }
 
@@ -36,7 +37,7 @@
 BOOST_AUTO_TEST_CASE(ExpiredEntryIsUsedForAWhile) {
   UpstreamTable table;
   PutEntry(table, kName, EntryOf(1));
-  RemoveEntry(table, kName, kNow + 100ms, kNow);
+  RemoveEntry(table, kName, {}, kNow + 100ms, kNow);
   BOOST_REQUIRE_EQUAL(table.upstreams.count(kName), 1);
   BOOST_CHECK(AcceptsWork(table.upstreams.at(kName)));
   BOOST_CHECK(RemoveExpired(table, kNow + 2s).empty());
@@ -48,7 +49,7 @@
 BOOST_AUTO_TEST_CASE(DrainingEntryIsNotUsedAfterExpiry) {
   UpstreamTable table;
   PutEntry(table, kName, EntryOf(1, true));
-  RemoveEntry(table, kName, kNow + 100ms, kNow);
+  RemoveEntry(table, kName, {}, kNow + 100ms, kNow);
   BOOST_CHECK(table.upstreams.empty());
 }
 
@@ -65,6 +66,77 @@
   BOOST_CHECK(AcceptsWork(table.upstreams.at(kName)));
 }
 
+UpstreamEntry EntryIn(std::uint64_t era, std::uint64_t started,
+                      bool draining = false) {
+  UpstreamEntry entry = EntryOf(started, draining);
+  entry.position = {.era = era, .revision = 5};
+  return entry;
+}
+
+// Guards against a draining upstream that gets work again by an entry from
+// before, which a restored store has brought back.
+BOOST_AUTO_TEST_CASE(RestoredEntryDoesNotEndDraining) {
+  UpstreamTable table;
+  PutEntry(table, kName, EntryIn(1, 7, true));
+  BOOST_CHECK(PutEntry(table, kName, EntryIn(2, 7)) ==
+              UpstreamChange::kOutdated);
+  BOOST_CHECK(!AcceptsWork(table.upstreams.at(kName)));
+  // A later entry of that era is no restored one.
+  PutEntry(table, kName, EntryIn(2, 7));
+  BOOST_CHECK(AcceptsWork(table.upstreams.at(kName)));
+}
+
+// Guards against an upstream that has left and gets work again by a restored
+// entry.
+BOOST_AUTO_TEST_CASE(RestoredEntryOfARemovedUpstreamIsIgnored) {
+  UpstreamTable table;
+  PutEntry(table, kName, EntryIn(1, 7));
+  RemoveEntry(table, kName, {1, 9}, kNow, {});
+  BOOST_CHECK(PutEntry(table, kName, EntryIn(2, 7)) ==
+              UpstreamChange::kOutdated);
+  BOOST_CHECK(table.upstreams.empty());
+  BOOST_CHECK(PutEntry(table, kName, EntryIn(2, 7)) == UpstreamChange::kAdded);
+}
+
+// Guards against an upstream that is ignored although it has started anew.
+BOOST_AUTO_TEST_CASE(LaterIncarnationIsNoRestoredEntry) {
+  UpstreamTable table;
+  PutEntry(table, kName, EntryIn(1, 7));
+  RemoveEntry(table, kName, {1, 9}, kNow, {});
+  BOOST_CHECK(PutEntry(table, kName, EntryIn(2, 8)) == UpstreamChange::kAdded);
+}
+
+// Guards against an upstream that is ignored because it was missing in the
+// restored store for longer than the grace, and then wrote its entry again.
+BOOST_AUTO_TEST_CASE(EntryWrittenAgainAfterARestoreIsAccepted) {
+  UpstreamTable table;
+  PutEntry(table, kName, EntryIn(1, 7));
+  RemoveEntry(table, kName, {2, 3}, kNow, kNow);
+  BOOST_CHECK(AcceptsWork(table.upstreams.at(kName)));
+  BOOST_CHECK_EQUAL(RemoveExpired(table, kNow + 3s).size(), 1);
+  BOOST_CHECK(PutEntry(table, kName, EntryIn(2, 7)) == UpstreamChange::kAdded);
+}
+
+// Guards against an earlier incarnation that replaces a later one.
+BOOST_AUTO_TEST_CASE(RestoredEntryOfAnEarlierIncarnationIsIgnored) {
+  UpstreamTable table;
+  PutEntry(table, kName, EntryIn(1, 8));
+  BOOST_CHECK(PutEntry(table, kName, EntryIn(2, 7)) ==
+              UpstreamChange::kOutdated);
+  BOOST_CHECK_EQUAL(table.upstreams.at(kName).entry.started, 8);
+}
+
+// Guards against a restored entry that takes the address of the upstream that
+// uses it now.
+BOOST_AUTO_TEST_CASE(RestoredEntryDoesNotTakeAnAddress) {
+  const common::UpstreamName earlier("earlier");
+  UpstreamTable table;
+  PutEntry(table, kName, EntryIn(1, 8));
+  PutEntry(table, earlier, EntryIn(2, 7));
+  BOOST_CHECK(AcceptsWork(table.upstreams.at(kName)));
+  BOOST_CHECK(!AcceptsWork(table.upstreams.at(earlier)));
+}
+
 // An address is reused. An upstream that was replaced and later returns under
 // its name must get work again.
 BOOST_AUTO_TEST_CASE(ReplacedUpstreamReturnsWithItsNextIncarnation) {
