--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -279,7 +279,7 @@
           .header_codec = kTestHeaderCodec,
           .decode =
               [this](const platform_clients::ItemChange& change) {
-                return std::optional(pending_.at(std::stoul(change.item.key)));
+                return Decode(change);
               },
           .send =
               [this](const common::Endpoint&, std::string_view bytes) {
@@ -293,9 +293,15 @@
                       .as_of = {.revision = 1}});
 }
 
-void GatewayFixture::Change(FleetChange change) {
-  pending_.push_back(std::move(change));
-  ++revision_;
+std::optional<FleetChange> GatewayFixture::Decode(
+    const platform_clients::ItemChange& change) const {
+  const FleetChange& decoded = pending_.at(std::stoul(change.item.key));
+  if (!change.removed) return decoded;
+  if (decoded.catalogue) return std::nullopt;
+  return FleetChange{.upstream = decoded.upstream};
+}
+
+void GatewayFixture::AwaitPoll() {
   gateway->OnTick();
   // The gateway polls again only after a pause that follows a change.
   constexpr int kTicksBetweenPolls = 50;
@@ -303,17 +309,37 @@
     clock.Advance(kTickInterval);
     gateway->OnTick();
   }
+}
+
+void GatewayFixture::Change(FleetChange change) {
+  if (change.entry) change.entry->position = {era_, revision_ + 1};
+  pending_.push_back(std::move(change));
+  ++revision_;
+  AwaitPoll();
   platform_clients::ChangesResult result{.status = absl::OkStatus(),
-                                         .as_of = {.revision = revision_}};
+                                         .as_of = Position()};
   if (with_unreadable_items) {
-    result.changes.push_back(
-        {.item = {.key = "x", .position = {.revision = revision_}}});
+    result.changes.push_back({.item = {.key = "x", .position = Position()}});
   }
   result.changes.push_back({.item = {.key = std::to_string(pending_.size() - 1),
-                                     .position = {.revision = revision_}}});
+                                     .position = Position()}});
   store.CompletePoll(std::move(result));
 }
 
+void GatewayFixture::RestoreStore(const std::vector<std::size_t>& changes) {
+  ++era_;
+  revision_ = 1;
+  AwaitPoll();
+  store.CompletePoll({.status = absl::OkStatus(), .as_of = Position()});
+  platform_clients::ListResult list{.status = absl::OkStatus(),
+                                    .as_of = Position()};
+  for (const std::size_t it : changes) {
+    if (pending_.at(it).entry) pending_.at(it).entry->position = Position();
+    list.items.push_back({.key = std::to_string(it), .position = Position()});
+  }
+  store.CompleteList(std::move(list));
+}
+
 void GatewayFixture::AddUpstream(const std::string& name,
                                  const common::Endpoint& endpoint,
                                  bool draining) {
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -108,6 +109,11 @@
   void RemoveUpstream(const std::string& name);
   void PutCatalogue(const catalogue::Catalogue& catalogue);
 
+  // Restores the store from a copy that has only the changes with these
+  // numbers, which count from 0, the first configuration. Its revisions go
+  // back.
+  void RestoreStore(const std::vector<std::size_t>& changes);
+
   // Runs the network until `condition` holds; fails the test if it never does.
   void RunUntil(const std::function<bool()>& condition);
   // Runs the network handlers that are ready.
@@ -127,9 +133,15 @@
   bool with_unreadable_items = false;
 
  private:
+  std::optional<FleetChange> Decode(
+      const platform_clients::ItemChange& change) const;
   void Change(FleetChange change);
+  // Advances the time until the gateway polls the store.
+  void AwaitPoll();
+  common::StorePosition Position() const { return {era_, revision_}; }
 
   std::vector<FleetChange> pending_;
+  std::uint64_t era_ = 0;
   std::uint64_t revision_ = 1;
 };
 
