Answer requests that are still running at the end of a planned stop

Callers whose request was taken in the first 2.5 s after SIGTERM and still ran when the grace ended got a closed connection and no answer, orders too (LOST, reported by operators of similar systems).

Cause: at the end of its time the process exited with its calls.

Change: 0.4 s before it would be killed it responds to all that are left, 504 if an upstream may have run the request and 503 if not, and exits 0.1 s later.

Evidence: PlannedStopTest/LateRequestsAreAnsweredOrRefused failed before: the caller got no byte.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -36,6 +36,8 @@
 constexpr common::Duration kReadinessNoticeTime = milliseconds(2'500);
 // Margin by which the process exits before it would be killed.
 constexpr common::Duration kStopMargin = milliseconds(400);
+// Part of the margin in which the last responses are sent.
+constexpr common::Duration kLastAnswerTime = milliseconds(100);
 
 platform_clients::StoreSessionOptions SessionOptions(
     const GatewaySettings& settings) {
@@ -208,8 +210,11 @@
 void Gateway::CheckDrain(common::TimePoint now) {
   if (!draining_since_ || !on_drained_) return;
   const common::Duration drained_for = now - *draining_since_;
-  const bool out_of_time = drained_for > settings_.stop_limit - kStopMargin;
-  if (out_of_time) return std::exchange(on_drained_, {})();
+  const common::Duration last_call = settings_.stop_limit - kStopMargin;
+  if (drained_for > last_call + kLastAnswerTime) {
+    return std::exchange(on_drained_, {})();
+  }
+  if (drained_for > last_call) return EndRemainingCalls();
   if (drained_for <= kReadinessNoticeTime || !calls_.empty()) return;
   // Requests may have arrived that no handler has read yet. They are answered
   // first, so that the process exits at a later tick.
@@ -221,6 +226,17 @@
   std::exchange(on_drained_, {})();
 }
 
+void Gateway::EndRemainingCalls() {
+  std::vector<Call*> remaining;
+  for (const auto& [call, owner] : calls_) remaining.push_back(call);
+  for (Call* it : remaining) {
+    AbortAttempt(*it);
+    const bool not_run = it->verdict == common::Verdict::kNotRun;
+    Respond(*it, not_run ? kUnavailable : kGatewayTimeout, "stopping",
+            not_run ? std::optional(kOtherHostRetryAfter) : std::nullopt);
+  }
+}
+
 void Gateway::Drain(std::function<void()> on_done) {
   draining_since_ = environment_.clock.Now();
   on_drained_ = std::move(on_done);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -225,6 +225,8 @@
   void CheckDeadlines();
   // Ends the drain when all requests are answered or the time is up.
   void CheckDrain(common::TimePoint now);
+  // Responds to all calls that can't end before the process is killed.
+  void EndRemainingCalls();
   SchedulerClient::InProgress StartsInProgress() const;
   std::optional<common::Duration> StoreAge() const;
 
--- a/Source/UnitTests/Core/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Core/Gateway/PlannedStopTest.cpp
@@ -74,6 +74,35 @@
   BOOST_CHECK_EQUAL(it.Answered(), static_cast<int>(it.callers.size()) - kept);
 }
 
+// Guards against requests that are taken late in a planned stop and cut without
+// a response at its end: one that can't end in time is refused as not run, and
+// one that is still running is answered before the exit.
+BOOST_AUTO_TEST_CASE(LateRequestsAreAnsweredOrRefused) {
+  GatewayFixture fleet;
+  FakeUpstream silent(fleet.context, [](const std::string&) {
+    return FakeUpstream::Reaction{};
+  });
+  fleet.AddUpstream("silent", silent.Endpoint());
+  auto catalogue = fleet.catalogue;
+  catalogue.version = static_cast<common::ConfigVersion>(2);
+  for (auto& route : catalogue.routes) route.timeout = 20s;
+  fleet.PutCatalogue(catalogue);
+  bool stopped = false;
+  fleet.gateway->Drain([&] { stopped = true; });
+  Caller running(fleet.context, fleet.gateway->CallersPort());
+  running.Send(GatewayFixture::Request("/order/1"));
+  fleet.RunUntil([&] { return silent.Requests().size() == 1; });
+  fleet.Advance(3s);
+  Caller late(fleet.context, fleet.gateway->CallersPort());
+  late.Send(GatewayFixture::Request("/order/2"));
+  fleet.RunUntil([&] { return !late.Received().empty(); });
+  BOOST_CHECK(Contains(late.Received(), "HTTP/1.1 503"));
+  BOOST_CHECK_EQUAL(silent.Requests().size(), 1);
+  for (int i = 0; i < 300 && !stopped; ++i) fleet.Advance(kTickInterval);
+  BOOST_REQUIRE(stopped);
+  BOOST_CHECK(Contains(running.Received(), "HTTP/1.1 504"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::gateway
