Test that a response cut at any byte is no success

Reported by operators of similar systems: an upstream stopped in the middle of its answer's head, and clients got a 200 with a short body, framed as whole.

It can't happen here: gateway and agent (HttpClient) pass at once with the response cut after each of its bytes, in status line, head and body.

--- a/Source/UnitTests/Core/Gateway/FailingUpstreamsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/FailingUpstreamsTest.cpp
@@ -457,6 +457,29 @@
   }
 }
 
+// Guards against a success whose head or body is only the beginning of the
+// upstream's, framed as whole.
+BOOST_AUTO_TEST_CASE(ResponseCutAtAnyByteIsNoSuccess) {
+  GatewayFixture fleet;
+  std::size_t cut = 0;
+  FakeUpstream upstream(fleet.context, [&cut](const std::string& request) {
+    return FakeUpstream::Reaction{
+        .bytes = ResponseWithDigest(request, "done").substr(0, cut),
+        .close = true};
+  });
+  fleet.AddUpstream("u1", upstream.Endpoint());
+  const std::size_t whole =
+      ResponseWithDigest(GatewayFixture::Request("/"), "done").size();
+  for (; cut < whole; ++cut) {
+    Caller caller(fleet.context, fleet.gateway->CallersPort());
+    caller.Send(GatewayFixture::Request("/order/1"));
+    fleet.RunUntil([&] { return Contains(caller.Received(), "\r\n\r\n"); });
+    BOOST_TEST_CONTEXT("cut after " << cut) {
+      BOOST_CHECK(Contains(caller.Received(), "HTTP/1.1 502"));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::gateway
--- a/Source/UnitTests/Core/Transport/HttpClientTest.cpp
+++ b/Source/UnitTests/Core/Transport/HttpClientTest.cpp
@@ -135,6 +135,35 @@
       CallEnd::kNotSent);
 }
 
+// Guards against a response whose head or body is cut and counts as whole.
+BOOST_AUTO_TEST_CASE(ResponseCutAtAnyByteIsBroken) {
+  const std::string response =
+      "HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: 2\r\n\r\nok";
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(
+      context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  const common::Endpoint address{.address = "127.0.0.1",
+                                 .port = acceptor.local_endpoint().port()};
+  HttpClient client(context);
+  for (std::size_t cut = 0; cut < response.size(); ++cut) {
+    std::thread server([&] {
+      auto socket = acceptor.accept();
+      ReadUntil(socket, "\r\n\r\n");
+      WriteText(socket, response.substr(0, cut));
+    });
+    std::optional<CallEnd> end;
+    client.Fetch(address, {.method = "GET", .target = "/"},
+                 std::chrono::seconds(5),
+                 [&](CallEnd it, const HttpResponse&) { end = it; });
+    context.restart();
+    context.run();
+    server.join();
+    BOOST_TEST_CONTEXT("cut after " << cut) {
+      BOOST_CHECK(end == CallEnd::kBroken);
+    }
+  }
+}
+
 // Guards against waiting forever for a server that accepts a connection but
 // never responds.
 BOOST_AUTO_TEST_CASE(SilentServerTimesOut) {
