--- a/Source/UnitTests/Core/Runtime/RouterDriverTest.cpp
+++ b/Source/UnitTests/Core/Runtime/RouterDriverTest.cpp
@@ -1,84 +1,18 @@
-#include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
-#include <functional>
 #include <nlohmann/json.hpp>
-#include <string>
-#include <utility>
-#include <vector>
 
-#include "Runtime/RouterDriver.h"
+#include "Core/Runtime/RouterDriverFixture.h"
 
 namespace shallotbeam::runtime {
 
 namespace {
 
 using std::chrono::milliseconds;
-
-// Stores the callback of every read, so that the test completes the reads.
-class DeferredStore : public platform_clients::KeyValueStore {
- public:
-  void Read(const std::string& /*key*/,
-            std::function<void(platform_clients::ReadResult)> done) override {
-    reads.push_back(std::move(done));
-  }
-  void CompareAndSwap(
-      const std::string& /*key*/, std::uint64_t /*expected*/,
-      const std::string& /*value*/,
-      std::function<void(platform_clients::SwapResult)>) override {}
-
-  std::vector<std::function<void(platform_clients::ReadResult)>> reads;
-};
-
-class DeferredHostList : public platform_clients::HostList {
- public:
-  void List(std::function<void(platform_clients::HostsResult)> done) override {
-    lists.push_back(std::move(done));
-  }
-
-  std::vector<std::function<void(platform_clients::HostsResult)>> lists;
-};
-
-struct Fixture {
-  common::ManualClock clock;
-  boost::asio::io_context context;
-  transport::HttpClient client{context};
-  DeferredStore store;
-  DeferredHostList hosts;
-  std::unique_ptr<transport::Mailbox> mailbox =
-      *transport::Mailbox::Open({"127.0.0.1", 0}, [](const std::string&) {});
-  RouterDriver driver{{.name = common::ProcessName("r1")},
-                      {.clock = clock,
-                       .client = client,
-                       .mailbox = *mailbox,
-                       .store = store,
-                       .post_event = [](const routing::RouterEvent&) {},
-                       .post_stored_config =
-                           [this](const platform_clients::ReadResult& it) {
-                             driver.OnStoredConfig(it);
-                           },
-                       .on_drained = [] {},
-                       .hosts = &hosts,
-                       .post_hosts =
-                           [this](const platform_clients::HostsResult& it) {
-                             driver.OnHosts(it);
-                           }}};
-
-  // Advances the clock by `time` with a tick every 10 ms.
-  void Run(common::Duration time) {
-    for (common::Duration it{0}; it < time; it += milliseconds(10)) {
-      clock.Advance(milliseconds(10));
-      driver.OnTick();
-    }
-  }
-  int ReadyStatus() { return driver.OnAdmin("/readyz").status; }
-};
+using Fixture = RouterDriverFixture;
 
 const platform_clients::ReadResult kStoreUnavailable = {
     .status = absl::UnavailableError("")};
-const platform_clients::ReadResult kPublishedConfig = {
-    .stored = {.revision = 7,
-               .value = R"({"pools": {"p": {}}, "kinds": {"k": {"pool": "p"}},
-                            "workspaces": {"w": {"kinds": ["k"]}}})"}};
+const platform_clients::ReadResult kPublishedConfig = StoredConfig(7);
 
 }  // namespace
 
