Send schedulers only the limits that they have not reported

Cause: while engines had limits, each gateway repeated the limit of each engine every second, and a scheduler's own report came back to it: 63 more messages a second for each gateway on the large fleet (computed).

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -359,6 +359,7 @@
   balancing::ForgetUpstream(ejections_, name);
   stated_.erase(name);
   stated_limits_.limits.erase(name);
+  reported_limits_.erase(name);
   scheduler_client_.SetLimited(name, false);
   pacing::ForgetUpstream(permits_, name);
 }
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -114,6 +114,12 @@
     std::chrono::milliseconds copy_age{0};  // as stated by the relay
   };
 
+  // The limit of an upstream as a scheduler or desk last reported it.
+  struct ReportedLimit {
+    double per_second = 0;
+    common::TimePoint time;
+  };
+
   void SendStoreCall();
   void ApplyStoreUpdate(const platform_clients::StoreUpdate& update,
                         const ResultOrigin& origin);
@@ -150,8 +156,10 @@
                    const pacing::StatedLimit& limit);
   void RecordLimitRow(const protocol::LimitRow& row);
   void OnLimitReport(const protocol::LimitReport& report);
-  // Tells schedulers of the limits of their engines.
+  // Tells schedulers of limits of their engines that they have not reported.
   void SendLimits();
+  bool IsLimitReported(const common::UpstreamName& name,
+                       double per_second) const;
   void OnPermitRequest(common::Incarnation gateway,
                        const protocol::PermitRequest& request);
   void OnPermitReply(const protocol::PermitReply& reply);
@@ -251,6 +259,7 @@
   SchedulerClient scheduler_client_;
   // Limits that upstreams state, and the permits to start requests there.
   pacing::LimitTable stated_limits_;
+  std::unordered_map<common::UpstreamName, ReportedLimit> reported_limits_;
   pacing::PermitSearch permits_;
   // Used if this gateway is a permit desk of others.
   pacing::PermitDesk permit_desk_;
