--- a/Source/Benchmarks/Relay/Main.cpp
+++ b/Source/Benchmarks/Relay/Main.cpp
@@ -244,15 +244,15 @@
 "sticky":true,"resumable":true,"gapTargetMs":400}],"services":[{"name":"s",
 "healthPath":"/h","maxConns":740,"engine":{"slots":64,"kvCapacity":700000,
 "kvBytes":1,"stride":6}}],"limits":{}})",
-                     .revision = 1},
+                     .position = {.revision = 1}},
                     {.key = "servers/u1",
                      .value = R"({"service":"s","address":"127.0.0.1:28803",
 "zone":"a","slots":64,"state":"ready","sequence":1,"born":1})",
-                     .revision = 1}},
-          .as_of = 1});
+                     .position = {.revision = 1}}},
+          .as_of = {.revision = 1}});
   }
   void AwaitChanges(
-      const std::string&, std::uint64_t, std::chrono::milliseconds,
+      const std::string&, common::StorePosition, std::chrono::milliseconds,
       std::function<void(platform_clients::ChangesResult)>) override {}
 };
 
--- a/Source/UnitTests/Platform/StoreClientTest.cpp
+++ b/Source/UnitTests/Platform/StoreClientTest.cpp
@@ -36,7 +36,8 @@
   }
   platform_clients::ChangesResult Poll() {
     std::optional<platform_clients::ChangesResult> result;
-    store.AwaitChanges("", 1, 0ms, [&](auto it) { result = std::move(it); });
+    store.AwaitChanges("", {.revision = 1}, 0ms,
+                       [&](auto it) { result = std::move(it); });
     for (int i = 0; i < 50'000 && !result; ++i) context.run_one_for(10ms);
     BOOST_REQUIRE(result.has_value());
     return *std::move(result);
