Keep permit desks away from engines

Cause: a request without a prompt to an engine with a limit asked for a permit, although the scheduler beside the engine hands out all of its limit; found by reading.

Change: an engine has no permit desks; such a request waits for the gateways' own part.

--- a/Source/Core/Gateway/SchedulerClient.cpp
+++ b/Source/Core/Gateway/SchedulerClient.cpp
@@ -215,6 +215,8 @@
 std::vector<common::Endpoint> SchedulerClient::PermitDesks(
     const common::UpstreamName& upstream) const {
   std::vector<common::Endpoint> desks;
+  // The scheduler of an engine hands out all starts there.
+  if (engines_.count(upstream) != 0) return desks;
   for (const auto& [name, it] : engines_) desks.push_back(it.control);
   if (desks.empty()) desks = options_.relays;
   const auto rank = [&upstream](const common::Endpoint& it) {
--- a/Source/Core/Gateway/SchedulerClient.h
+++ b/Source/Core/Gateway/SchedulerClient.h
@@ -99,8 +99,8 @@
   void SetLimited(const common::UpstreamName& upstream, bool limited);
   // Tells the scheduler of an engine what this gateway knows of its limit.
   void SendLimit(const protocol::LimitRow& row);
-  // Processes that may serve as permit desks of the upstream; the same at all
-  // gateways that know the same engines.
+  // Permit desks of an upstream without a scheduler; the same at all gateways
+  // that know the same engines.
   std::vector<common::Endpoint> PermitDesks(
       const common::UpstreamName& upstream) const;
   void SendToPeer(const common::Endpoint& peer, protocol::SchedulingBody body);
