--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -155,6 +155,7 @@
   }
   scheduler_client_.OnTick([this] { return StartsInProgress(); });
   OnPermitTick();
+  SendLimits();
   ExchangeCrashReports();
   if (change_relay_) change_relay_->OnTick();
   CheckDeadlines();
--- a/Source/Core/Gateway/GatewayPermits.cpp
+++ b/Source/Core/Gateway/GatewayPermits.cpp
@@ -30,7 +30,7 @@
   RecordLimitRow(reply.limit);
   pacing::PermitActions actions;
   pacing::OnPermitReply(permits_, Now(), reply.number, reply.granted,
-                        reply.wait, &actions);
+                        pacing::ClampWait(reply.wait), &actions);
   Execute(actions);
 }
 
@@ -38,7 +38,6 @@
   pacing::PermitActions actions;
   pacing::OnPermitTick(permits_, Now(), &actions);
   Execute(actions);
-  SendLimits();
 }
 
 void Gateway::DispatchToService(
@@ -97,14 +96,11 @@
   const auto limit = stated_limits_.limits.find(name);
   if (limit == stated_limits_.limits.end()) return;
   scheduler_client_.SendToPeer(
-      action.desk,
-      protocol::PermitRequest{
-          .number = action.number,
-          .control = settings_.control,
-          .limit = pacing::ToRow(name, limit->second, Now()),
-          .max_wait = common::ToMicroseconds(call->second->is_last_permit
-                                                 ? MaxPermitWait(*call->second)
-                                                 : common::Duration(0))});
+      action.desk, protocol::PermitRequest{
+                       .number = action.number,
+                       .control = settings_.control,
+                       .limit = pacing::ToRow(name, limit->second, Now()),
+                       .max_wait = common::ToMicroseconds(action.max_wait)});
 }
 
 Call* Gateway::TakePermitCall(pacing::PermitId id) {
--- a/Source/Core/Gateway/GatewayStatements.cpp
+++ b/Source/Core/Gateway/GatewayStatements.cpp
@@ -76,10 +76,11 @@
   const auto it = upstreams_.upstreams.find(row.upstream);
   const bool current = it != upstreams_.upstreams.end() &&
                        it->second.entry.started == row.started;
-  if (!current) return;
+  const auto limit = pacing::FromRow(row, Now());
+  if (!current || !limit) return;
   reported_limits_[row.upstream] = {.per_second = row.per_second,
                                     .time = Now()};
-  RecordLimit(row.upstream, pacing::FromRow(row, Now()));
+  RecordLimit(row.upstream, *limit);
 }
 
 void Gateway::SendLimits() {
--- a/Source/Core/Pacing/PermitDesk.cpp
+++ b/Source/Core/Pacing/PermitDesk.cpp
@@ -1,5 +1,7 @@
 #include "Pacing/PermitDesk.h"
 
+#include <algorithm>
+
 namespace shallotbeam::pacing {
 
 namespace {
@@ -9,6 +11,11 @@
 
 }  // namespace
 
+common::Duration ClampWait(std::chrono::microseconds wait) {
+  constexpr std::chrono::microseconds kMaxWait = std::chrono::seconds(10);
+  return std::clamp(wait, std::chrono::microseconds(0), kMaxWait);
+}
+
 PermitDecision RequestPermit(PermitDesk& desk, common::TimePoint now,
                              common::Incarnation gateway,
                              const common::UpstreamName& upstream,
@@ -33,9 +40,11 @@
     PermitDesk& desk, common::TimePoint now, common::Incarnation gateway,
     const protocol::PermitRequest& request, std::uint32_t gateways) {
   const common::UpstreamName& upstream = request.limit.upstream;
-  Record(desk.limits, upstream, FromRow(request.limit, now));
+  if (const auto limit = FromRow(request.limit, now)) {
+    Record(desk.limits, upstream, *limit);
+  }
   const PermitDecision decision =
-      RequestPermit(desk, now, gateway, upstream, request.max_wait);
+      RequestPermit(desk, now, gateway, upstream, ClampWait(request.max_wait));
   const auto known = desk.limits.limits.find(upstream);
   return {.number = request.number,
           .granted = decision.granted,
--- a/Source/Core/Pacing/PermitDesk.h
+++ b/Source/Core/Pacing/PermitDesk.h
@@ -26,6 +26,9 @@
   common::Duration wait{0};
 };
 
+// Limits a wait that another process has sent to what makes sense.
+common::Duration ClampWait(std::chrono::microseconds wait);
+
 // Decides whether a gateway may start a request at the upstream, at the latest
 // after `max_wait`.
 PermitDecision RequestPermit(PermitDesk& desk, common::TimePoint now,
--- a/Source/Core/Pacing/StartPacer.cpp
+++ b/Source/Core/Pacing/StartPacer.cpp
@@ -11,13 +11,14 @@
 // Starts that were not used may be made up for within this time.
 constexpr common::Duration kMaxCatchUp = std::chrono::milliseconds(250);
 constexpr double kMinPerSecond = 0.1;
+constexpr double kMaxPerSecond = 1e6;
 
 }  // namespace
 
 common::Duration IntervalOf(double per_second, double part) {
   return std::chrono::duration_cast<common::Duration>(
       std::chrono::duration<double>(
-          1 / (std::max(per_second, kMinPerSecond) * part)));
+          1 / (std::clamp(per_second, kMinPerSecond, kMaxPerSecond) * part)));
 }
 
 StartPacer MakePacer(double per_second, double part, common::TimePoint now) {
--- a/Source/Core/Pacing/StatedLimits.cpp
+++ b/Source/Core/Pacing/StatedLimits.cpp
@@ -1,5 +1,6 @@
 #include "Pacing/StatedLimits.h"
 
+#include <cmath>
 #include <limits>
 
 namespace shallotbeam::pacing {
@@ -9,6 +10,9 @@
 // Time for which the end of a limit is passed on.
 constexpr common::Duration kEndedMemory = std::chrono::seconds(10);
 
+// Oldest statement that is accepted from another process.
+constexpr std::chrono::microseconds kMaxAge = std::chrono::hours(1);
+
 double Rank(const StatedLimit& limit) {
   return limit.per_second.value_or(std::numeric_limits<double>::infinity());
 }
@@ -60,12 +64,18 @@
           .received_age = common::ToMicroseconds(now - limit.received)};
 }
 
-StatedLimit FromRow(const protocol::LimitRow& row, common::TimePoint now) {
-  return {
-      .started = row.started,
-      .per_second = row.limited ? std::optional(row.per_second) : std::nullopt,
-      .sent = now - row.sent_age,
-      .received = now - row.received_age};
+std::optional<StatedLimit> FromRow(const protocol::LimitRow& row,
+                                   common::TimePoint now) {
+  const bool valid = std::isfinite(row.per_second) && row.per_second >= 0 &&
+                     row.received_age.count() >= 0 &&
+                     row.sent_age >= row.received_age &&
+                     row.sent_age <= kMaxAge;
+  if (!valid) return std::nullopt;
+  StatedLimit limit{.started = row.started,
+                    .sent = now - row.sent_age,
+                    .received = now - row.received_age};
+  if (row.limited) limit.per_second = row.per_second;
+  return limit;
 }
 
 }  // namespace shallotbeam::pacing
--- a/Source/Core/Pacing/StatedLimits.h
+++ b/Source/Core/Pacing/StatedLimits.h
@@ -49,7 +49,9 @@
 
 protocol::LimitRow ToRow(const common::UpstreamName& upstream,
                          const StatedLimit& limit, common::TimePoint now);
-StatedLimit FromRow(const protocol::LimitRow& row, common::TimePoint now);
+// Absent if the row has values that no process sends.
+std::optional<StatedLimit> FromRow(const protocol::LimitRow& row,
+                                   common::TimePoint now);
 
 }  // namespace shallotbeam::pacing
 
--- a/Source/Core/SchedulerRuntime/SchedulerLimits.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerLimits.cpp
@@ -42,7 +42,8 @@
   for (const protocol::LimitRow& it : report.rows) {
     const bool current =
         it.upstream == upstream_ && it.started == upstream_started_;
-    if (current) RecordEngineLimit(pacing::FromRow(it, now));
+    const auto limit = pacing::FromRow(it, now);
+    if (current && limit) RecordEngineLimit(*limit);
   }
 }
 
