--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -360,6 +360,13 @@
   Change({.catalogue = it});
 }
 
+std::string GatewayFixture::Exchange(const std::string& path) {
+  Caller caller(context, gateway->CallersPort());
+  caller.Send(Request(path));
+  RunUntil([&] { return !caller.Received().empty(); });
+  return caller.Received();
+}
+
 void GatewayFixture::RunUntil(const std::function<bool()>& condition) {
   const auto give_up = std::chrono::steady_clock::now() + kConditionTimeout;
   while (!condition()) {
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -114,6 +114,9 @@
   // back.
   void RestoreStore(const std::vector<std::size_t>& changes);
 
+  // Sends a request over a new connection and returns the response.
+  std::string Exchange(const std::string& path);
+
   // Runs the network until `condition` holds; fails the test if it never does.
   void RunUntil(const std::function<bool()>& condition);
   // Runs the network handlers that are ready.
--- a/Source/UnitTests/Core/Gateway/LeavingUpstreamsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/LeavingUpstreamsTest.cpp
@@ -10,16 +10,6 @@
 
 using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
 
-struct Fixture : GatewayFixture {
-  // Sends a request and returns the response.
-  std::string Exchange(const std::string& path) {
-    Caller caller(context, gateway->CallersPort());
-    caller.Send(Request(path));
-    RunUntil([&] { return !caller.Received().empty(); });
-    return caller.Received();
-  }
-};
-
 // Responds with an extra header to the first request.
 FakeUpstream::Behaviour RespondOnceWith(const std::string& header,
                                         int status = 200) {
@@ -32,7 +22,7 @@
 
 }  // namespace
 
-BOOST_FIXTURE_TEST_SUITE(LeavingUpstreamsTest, Fixture)
+BOOST_FIXTURE_TEST_SUITE(LeavingUpstreamsTest, GatewayFixture)
 
 // Guards against requests to an upstream that has stated to this gateway that
 // it leaves, while its entry in the store says nothing of it.
--- a/Source/UnitTests/Core/Gateway/RestoredStoreTest.cpp
+++ b/Source/UnitTests/Core/Gateway/RestoredStoreTest.cpp
@@ -9,14 +9,6 @@
 namespace {
 
 struct Fixture : GatewayFixture {
-  // Sends a request and returns the response.
-  std::string Exchange(const std::string& path) {
-    Caller caller(context, gateway->CallersPort());
-    caller.Send(Request(path));
-    RunUntil([&] { return !caller.Received().empty(); });
-    return caller.Received();
-  }
-
   // Puts the next version of the configuration with one more route.
   void AddRoute(const std::string& prefix) {
     catalogue::Route route = catalogue.routes.front();
--- a/Source/UnitTests/Core/Gateway/StatedLimitsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/StatedLimitsTest.cpp
@@ -17,8 +17,8 @@
 struct Fixture : GatewayFixture {
   Fixture() : GatewayFixture(false, {kRelay}) {}
 
-  // Sends a request and returns the response.
-  std::string Exchange(const std::string& path) {
+  // The same while the time advances.
+  std::string ExchangeInTime(const std::string& path) {
     Caller caller(context, gateway->CallersPort());
     caller.Send(Request(path));
     for (int i = 0; i < 20 && caller.Received().empty(); ++i) Advance(20ms);
@@ -70,7 +70,7 @@
   AddUpstream("limited", limited_upstream.Endpoint());
   AddUpstream("other", other.Endpoint());
   for (int i = 0; i < 30; ++i) {
-    BOOST_CHECK(Contains(Exchange("/order/"), "200"));
+    BOOST_CHECK(Contains(ExchangeInTime("/order/"), "200"));
   }
   // The limit is known after the first response; no desk answers.
   BOOST_CHECK_EQUAL(limited_upstream.Requests().size(), 1);
@@ -83,7 +83,7 @@
   bool limited = true;
   FakeUpstream upstream(context, RespondWithLimit(limited));
   AddUpstream("u", upstream.Endpoint());
-  BOOST_CHECK(Contains(Exchange("/order/"), "200"));
+  BOOST_CHECK(Contains(ExchangeInTime("/order/"), "200"));
   Caller caller(context, gateway->CallersPort());
   caller.Send(Request("/order/"));
   RunPending();
@@ -103,7 +103,7 @@
   bool limited = true;
   FakeUpstream upstream(context, RespondWithLimit(limited));
   AddUpstream("u", upstream.Endpoint());
-  BOOST_CHECK(Contains(Exchange("/order/"), "200"));
+  BOOST_CHECK(Contains(ExchangeInTime("/order/"), "200"));
   Caller caller(context, gateway->CallersPort());
   caller.Send(Request("/order/"));
   RunPending();
@@ -122,7 +122,7 @@
   bool limited = true;
   FakeUpstream upstream(context, RespondWithLimit(limited));
   AddUpstream("u", upstream.Endpoint());
-  BOOST_CHECK(Contains(Exchange("/order/"), "200"));
+  BOOST_CHECK(Contains(ExchangeInTime("/order/"), "200"));
   limited = false;
   clock.Advance(100ms);
   Caller caller(context, gateway->CallersPort());
@@ -133,7 +133,7 @@
   Reply(*request, true);
   RunUntil([&] { return Contains(caller.Received(), "200"); });
   for (int i = 0; i < 10; ++i) {
-    BOOST_CHECK(Contains(Exchange("/order/"), "200"));
+    BOOST_CHECK(Contains(ExchangeInTime("/order/"), "200"));
   }
   BOOST_CHECK_EQUAL(upstream.Requests().size(), 12);
 }
@@ -150,7 +150,7 @@
                                           .started = 1,
                                           .limited = true,
                                           .per_second = 5}}}}));
-  BOOST_CHECK(Contains(Exchange("/order/"), "503"));
+  BOOST_CHECK(Contains(ExchangeInTime("/order/"), "503"));
   BOOST_CHECK_EQUAL(upstream.Requests().size(), 0);
 }
 
--- a/Source/UnitTests/Core/Pacing/StatedLimitsTest.cpp
+++ b/Source/UnitTests/Core/Pacing/StatedLimitsTest.cpp
@@ -1,4 +1,6 @@
 #include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <limits>
 
 #include "Pacing/StatedLimits.h"
 
@@ -84,17 +86,40 @@
   LimitTable first;
   LimitTable second;
   for (const StatedLimit& it : {limit, end}) {
-    Record(first, kUpstream, FromRow(ToRow(kUpstream, it, now), now));
+    Record(first, kUpstream, *FromRow(ToRow(kUpstream, it, now), now));
   }
   for (const StatedLimit& it : {end, limit}) {
-    Record(second, kUpstream, FromRow(ToRow(kUpstream, it, now), now));
+    Record(second, kUpstream, *FromRow(ToRow(kUpstream, it, now), now));
   }
   BOOST_CHECK(!LimitOf(first, kUpstream));
   // The second process had no limit to end; a repeated row ends it.
-  Record(second, kUpstream, FromRow(ToRow(kUpstream, end, now), now));
+  Record(second, kUpstream, *FromRow(ToRow(kUpstream, end, now), now));
   BOOST_CHECK(!LimitOf(second, kUpstream));
 }
 
+// Guards against a datagram whose numbers stop the starts at an upstream or
+// overflow a time.
+BOOST_AUTO_TEST_CASE(OddRowsAreIgnored) {
+  const auto now = At(1s);
+  protocol::LimitRow row = ToRow(kUpstream, Stated(7, 100ms, 200ms), now);
+  BOOST_CHECK(FromRow(row, now));
+  for (const double it :
+       {-1.0, std::nan(""), std::numeric_limits<double>::infinity()}) {
+    protocol::LimitRow odd = row;
+    odd.per_second = it;
+    BOOST_CHECK(!FromRow(odd, now));
+  }
+  for (const auto age : {-1us, std::chrono::microseconds::max(),
+                         std::chrono::microseconds::min()}) {
+    protocol::LimitRow odd = row;
+    odd.sent_age = age;
+    BOOST_CHECK(!FromRow(odd, now));
+    odd = row;
+    odd.received_age = age;
+    BOOST_CHECK(!FromRow(odd, now));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::pacing
