--- a/Source/Core/Scheduling/EngineScheduler.h
+++ b/Source/Core/Scheduling/EngineScheduler.h
@@ -146,9 +146,9 @@
   common::TimePoint over_share_prefill_until;
   // Set while the engine states a limit of requests a second.
   std::optional<pacing::StartPacer> pacer;
-  // Tokens that each workspace received here since the limit was stated, which
-  // then decide the order. Service from before counts as much as a multiple of
-  // what the engine takes now, and would exclude its workspace for seconds.
+  // Tokens that each workspace received here since the limit was stated. They
+  // decide the order meanwhile, as service from before would outweigh all that a
+  // limited engine gives in seconds.
   std::map<common::WorkspaceName, PacedService> paced_service;
   std::optional<EngineReport> report;
   common::TimePoint last_report;
