--- a/Source/Core/Scheduling/EngineScheduler.h
+++ b/Source/Core/Scheduling/EngineScheduler.h
@@ -147,8 +147,8 @@
   // Set while the engine states a limit of requests a second.
   std::optional<pacing::StartPacer> pacer;
   // Tokens that each workspace received here since the limit was stated. They
-  // decide the order meanwhile, as service from before would outweigh all that a
-  // limited engine gives in seconds.
+  // decide the order meanwhile, as service from before would outweigh all that
+  // a limited engine gives in seconds.
   std::map<common::WorkspaceName, PacedService> paced_service;
   std::optional<EngineReport> report;
   common::TimePoint last_report;
