Hash each permit desk once when desks are ranked

The comparison of the sort built a text and hashed it twice: several thousand hashes for each request to an upstream with a limit beside 180 engines (computed). Now one for each engine, and only the first two are sorted. The order is the same.

--- a/Source/Core/Gateway/SchedulerClient.cpp
+++ b/Source/Core/Gateway/SchedulerClient.cpp
@@ -214,18 +214,24 @@
 
 std::vector<common::Endpoint> SchedulerClient::PermitDesks(
     const common::UpstreamName& upstream) const {
-  std::vector<common::Endpoint> desks;
   // The scheduler of an engine hands out all starts there.
-  if (engines_.count(upstream) != 0) return desks;
-  for (const auto& [name, it] : engines_) desks.push_back(it.control);
-  if (desks.empty()) desks = options_.relays;
-  const auto rank = [&upstream](const common::Endpoint& it) {
-    return common::Hash64(upstream.value + " " + common::ToString(it));
+  if (engines_.count(upstream) != 0) return {};
+  std::vector<std::pair<std::uint64_t, common::Endpoint>> ranked;
+  const auto add = [&](const common::Endpoint& desk) {
+    ranked.emplace_back(
+        common::Hash64(upstream.value + " " + common::ToString(desk)), desk);
   };
-  std::sort(desks.begin(), desks.end(), [&rank](const auto& a, const auto& b) {
-    return rank(a) < rank(b);
-  });
-  if (desks.size() > pacing::kDeskCount) desks.resize(pacing::kDeskCount);
+  for (const auto& [name, it] : engines_) add(it.control);
+  if (ranked.empty()) {
+    for (const common::Endpoint& it : options_.relays) add(it);
+  }
+  const std::size_t count =
+      std::min<std::size_t>(ranked.size(), pacing::kDeskCount);
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end());
+  std::vector<common::Endpoint> desks;
+  for (std::size_t i = 0; i < count; ++i) desks.push_back(ranked[i].second);
   return desks;
 }
 
