Look up response headers by one function

The report of an engine and the answers of the store each had a loop of their own. HeaderOf() takes responses as well.

--- a/Source/Core/Transport/Http.cpp
+++ b/Source/Core/Transport/Http.cpp
@@ -1,6 +1,7 @@
 #include "Transport/Http.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/string.hpp>
 #include <charconv>
 
 namespace shallotbeam::transport {
@@ -12,6 +13,13 @@
   return std::string(it->value());
 }
 
+std::string HeaderOf(const HttpResponse& response, std::string_view name) {
+  for (const auto& [key, value] : response.headers) {
+    if (boost::beast::iequals(key, {name.data(), name.size()})) return value;
+  }
+  return {};
+}
+
 std::optional<common::Endpoint> ParseEndpoint(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
--- a/Source/Core/Transport/Http.h
+++ b/Source/Core/Transport/Http.h
@@ -30,6 +30,8 @@
 
 // Returns the value of a header, or an empty string if the request has none.
 std::string HeaderOf(const HttpRequest& request, std::string_view name);
+// The same for a response, whose first header of that name counts.
+std::string HeaderOf(const HttpResponse& response, std::string_view name);
 
 // Parses an IP address and a port such as "10.1.2.3:8080". Returns nullopt for
 // anything else.
