--- a/Source/Core/Gateway/GatewayPermits.cpp
+++ b/Source/Core/Gateway/GatewayPermits.cpp
@@ -7,17 +7,10 @@
 // with a permit where they state a limit.
 namespace shallotbeam::gateway {
 
-namespace {
-
-// All gateways that need a permit ask a new desk within this time.
-constexpr common::Duration kGatewaysHeardTime = std::chrono::seconds(3);
-
-}  // namespace
-
 void Gateway::OnPermitRequest(common::Incarnation gateway,
                               const protocol::PermitRequest& request) {
   // After a start, some gateways have not asked yet.
-  const bool all_heard = Now() - started_ > kGatewaysHeardTime;
+  const bool all_heard = Now() - started_ > pacing::kGatewaysHeardTime;
   const auto gateways =
       all_heard ? static_cast<std::uint32_t>(permit_desk_.askers.size()) : 0;
   scheduler_client_.SendToPeer(
--- a/Source/Core/Pacing/PermitDesk.h
+++ b/Source/Core/Pacing/PermitDesk.h
@@ -13,6 +13,10 @@
 // need not know of each other.
 namespace shallotbeam::pacing {
 
+// A process that has run for this long has heard from all gateways that need
+// it.
+inline constexpr common::Duration kGatewaysHeardTime = std::chrono::seconds(3);
+
 struct PermitDesk {
   LimitTable limits;
   std::unordered_map<common::UpstreamName, StartPacer> pacers;
@@ -42,7 +46,7 @@
     PermitDesk& desk, common::TimePoint now, common::Incarnation gateway,
     const protocol::PermitRequest& request, std::uint32_t gateways);
 
-// Forgets what is no longer needed; called every few seconds.
+// Forgets what is no longer needed; called from time to time.
 void Expire(PermitDesk& desk, common::TimePoint now);
 
 }  // namespace shallotbeam::pacing
--- a/Source/Core/Pacing/PermitSearch.cpp
+++ b/Source/Core/Pacing/PermitSearch.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Common/Hash.h"
+#include "Pacing/StartPacer.h"
 
 namespace shallotbeam::pacing {
 
--- a/Source/Core/Pacing/PermitSearch.h
+++ b/Source/Core/Pacing/PermitSearch.h
@@ -10,7 +10,6 @@
 
 #include "Common/Clock.h"
 #include "Common/Types.h"
-#include "Pacing/StartPacer.h"
 
 // Permit search: asks the desks of an upstream with a stated limit for the
 // permission to start a request there. While none of them answers, a gateway
--- a/Source/Core/SchedulerRuntime/SchedulerLimits.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerLimits.cpp
@@ -10,9 +10,6 @@
 using common::LogLevel;
 using common::Subsystem;
 
-// All gateways report within this time after a scheduler has started.
-constexpr common::Duration kGatewaysHeardTime = std::chrono::seconds(3);
-
 }  // namespace
 
 void SchedulerDriver::OnStatus(const EngineStatus& status,
@@ -66,7 +63,7 @@
 
 std::uint32_t SchedulerDriver::GatewayCount() const {
   const bool all_heard =
-      environment_.clock.Now() - started_ > kGatewaysHeardTime;
+      environment_.clock.Now() - started_ > pacing::kGatewaysHeardTime;
   return all_heard ? static_cast<std::uint32_t>(gateways_.size()) : 0;
 }
 
