--- a/Source/UnitTests/Core/Gateway/StatedLimitsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/StatedLimitsTest.cpp
@@ -25,8 +25,12 @@
     return caller.Received();
   }
 
-  // The last request for a permit that was not answered yet.
-  std::optional<protocol::PermitRequest> TakePermitRequest() {
+  // Sends a request for which the gateway has to ask for a permit, and returns
+  // what it asks.
+  protocol::PermitRequest SendAndTakePermitRequest(Caller& caller) {
+    sent_messages.clear();
+    caller.Send(Request("/order/"));
+    RunPending();
     std::optional<protocol::PermitRequest> request;
     for (const std::string& it : sent_messages) {
       const auto message = wire::DecodeScheduling(it);
@@ -34,8 +38,8 @@
       const auto* permit = std::get_if<protocol::PermitRequest>(&message->body);
       if (permit != nullptr) request = *permit;
     }
-    sent_messages.clear();
-    return request;
+    BOOST_REQUIRE(request);
+    return *request;
   }
 
   void Reply(const protocol::PermitRequest& request, bool granted,
@@ -85,13 +89,10 @@
   AddUpstream("u", upstream.Endpoint());
   BOOST_CHECK(Contains(ExchangeInTime("/order/"), "200"));
   Caller caller(context, gateway->CallersPort());
-  caller.Send(Request("/order/"));
-  RunPending();
-  const auto request = TakePermitRequest();
-  BOOST_REQUIRE(request);
-  BOOST_CHECK(request->limit.limited);
-  BOOST_CHECK_EQUAL(request->limit.per_second, 5);
-  Reply(*request, false, 200ms);
+  const auto request = SendAndTakePermitRequest(caller);
+  BOOST_CHECK(request.limit.limited);
+  BOOST_CHECK_EQUAL(request.limit.per_second, 5);
+  Reply(request, false, 200ms);
   RunUntil([&] { return !caller.Received().empty(); });
   BOOST_CHECK(Contains(caller.Received(), "503"));
   BOOST_CHECK(Contains(caller.Received(), "Retry-After: 0."));
@@ -105,11 +106,8 @@
   AddUpstream("u", upstream.Endpoint());
   BOOST_CHECK(Contains(ExchangeInTime("/order/"), "200"));
   Caller caller(context, gateway->CallersPort());
-  caller.Send(Request("/order/"));
-  RunPending();
-  const auto request = TakePermitRequest();
-  BOOST_REQUIRE(request);
-  Reply(*request, true, 100ms);
+  const auto request = SendAndTakePermitRequest(caller);
+  Reply(request, true, 100ms);
   Advance(60ms);
   BOOST_CHECK_EQUAL(upstream.Requests().size(), 1);
   Advance(60ms);
@@ -126,11 +124,8 @@
   limited = false;
   clock.Advance(100ms);
   Caller caller(context, gateway->CallersPort());
-  caller.Send(Request("/order/"));
-  RunPending();
-  const auto request = TakePermitRequest();
-  BOOST_REQUIRE(request);
-  Reply(*request, true);
+  const auto request = SendAndTakePermitRequest(caller);
+  Reply(request, true);
   RunUntil([&] { return Contains(caller.Received(), "200"); });
   for (int i = 0; i < 10; ++i) {
     BOOST_CHECK(Contains(ExchangeInTime("/order/"), "200"));
