--- a/review/standin.py
+++ b/review/standin.py
@@ -554,6 +554,9 @@
 
     async def main():
         world = World(folder)
+        # A signal to the script ends its processes too.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await world.store.open()
             return await asyncio.wait_for(case(world, trouble), CASE_S), None
@@ -571,7 +574,10 @@
                         shutil.copy(it.log, os.environ["KEEP_LOGS"])
             await world.close()
 
-    broken, error = asyncio.run(main())
+    try:
+        broken, error = asyncio.run(main())
+    except asyncio.CancelledError as cancelled:
+        broken, error = None, cancelled
     if error is not None:
         print(f"could not run: {error!r}")
         sys.exit(2)
