--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,6 +18,7 @@
 RELEASED = 5  # have the new weights: a share of 0.42
 GATEWAYS = 2
 CONSUMERS = 80
+ORDER_CONSUMERS = 20
 TOKENS_PER_MS = 125
 DEADLY = 16
 DEADLY_GAP_S = 3
@@ -69,8 +70,24 @@
             "Prefix-Hash": f"{subject:x}:500,{number:x}:{tokens}"}
 
 
-async def consumer(world, gateway, number, stop, found):
-    """Sends one brief after the other on a kept channel; none may be repeated."""
+def brief(world, number, count):
+    fields = headers(count % 16, count % 37 + 1, count,
+                     6610 if number % 2 else 628)
+    world.once_only.add(fields["Attempt-Id"])
+    return fields, request("POST", f"/brief/{count}", HOST, fields,
+                           b"brief %d" % count)
+
+
+def order(world, number, count):
+    fields = {"Attempt-Id": new_id(), "Deadline-Ms": 1500,
+              "Authorization": f"Bearer key-{count % 16}"}
+    world.once_only.add(fields["Attempt-Id"])
+    return fields, request("POST", f"/order/{number}", HOST, fields, b"hay")
+
+
+async def consumer(world, gateway, number, make, stop, found):
+    """Sends one request after the other on a kept channel; none of them may be
+    repeated."""
     count = number * 100_000
     while not stop.is_set():
         try:
@@ -84,12 +101,9 @@
             while not stop.is_set():
                 count += 1
                 sent_here += 1
-                fields = headers(count % 16, count % 37 + 1, count,
-                                 6610 if number % 2 else 628)
+                fields, message = make(world, number, count)
                 attempt = fields["Attempt-Id"]
-                world.briefs.add(attempt)
-                writer.write(request("POST", f"/brief/{count}", HOST, fields,
-                                     b"brief %d" % count))
+                writer.write(message)
                 answer = await asyncio.wait_for(read_message(reader), 14)
                 if answer is None:
                     raise ConnectionError("closed without an answer")
@@ -141,13 +155,21 @@
 
 
 async def case(world, trouble):
-    world.trouble, world.probes, world.briefs = trouble, {}, set()
+    world.trouble, world.probes, world.once_only = trouble, {}, set()
     for number in range(ENGINES):
         engine = Engine(world, "pool", world.app(number), f"i-{number}",
                         version=2 if number < RELEASED else 1)
         await engine.start()
         await world.add(Scheduler(world, number, engine))
 
+    async def work(_message):
+        await asyncio.sleep(0.15)
+        return 200, b"x" * 800
+
+    for number in range(3):
+        await Replica(world, "ledger", world.app(50 + number), f"l-{number}",
+                      slots=16, work=work).start()
+
     def route(name, attempts, resumable):
         return {"name": name, "host": HOST, "pathPrefix": f"/{name}/",
                 "routeKind": "streaming", "timeoutMs": 12000, "sloMs": 400,
@@ -159,8 +181,14 @@
     del limits["tokensPerS"]
     world.store.put("op/config", {
         "version": 7,
-        "routes": [route("brief", 1, False), route("chat", 4, True)],
-        "services": [{"name": "pool", "healthPath": "/healthz",
+        "routes": [route("brief", 1, False), route("chat", 5, True),
+                   {"name": "order", "host": HOST, "pathPrefix": "/order/",
+                    "routeKind": "non_idempotent", "timeoutMs": 1500,
+                    "sloMs": 300, "priority": 1, "service": "ledger",
+                    "attempts": 1, "anonymous": False}],
+        "services": [{"name": "ledger", "healthPath": "/healthz",
+                      "maxConns": 220},
+                     {"name": "pool", "healthPath": "/healthz",
                       "maxConns": 740,
                       "engine": {"slots": 64, "kvCapacity": 763514,
                                  "stride": 6, "models": [{"name": "m"}]}}],
@@ -173,12 +201,13 @@
     await asyncio.sleep(1)
     stop, found = asyncio.Event(), {"lost": [], "foreign": []}
     consumers = [asyncio.create_task(consumer(
-        world, gateways[n % GATEWAYS], n, stop, found))
-        for n in range(CONSUMERS)]
+        world, gateways[n % GATEWAYS], n,
+        brief if n < CONSUMERS else order, stop, found))
+        for n in range(CONSUMERS + ORDER_CONSUMERS)]
 
     def twice():
         runs = collections.Counter(it[1] for it in world.runs)
-        return [it for it in world.briefs if runs[it] > 1]
+        return [it for it in world.once_only if runs[it] > 1]
 
     await asyncio.sleep(5)
     callers = []
@@ -186,7 +215,7 @@
         callers.append(asyncio.create_task(deadly_caller(
             world, gateways[number % GATEWAYS], number)))
         await asyncio.sleep(DEADLY_GAP_S)
-        if twice() or any(it.own_ends for it in gateways):
+        if any(it.own_ends for it in gateways):
             break
     await asyncio.sleep(2)
     stop.set()
@@ -195,18 +224,24 @@
         it.cancel()
 
     crashed = sum(it.own_ends for it in gateways)
-    world.record(f"briefs {len(world.briefs)}, run twice {twice()}, foreign "
+    ran = {it[1] for it in world.runs}
+    lost = [it for it in found["lost"] if it in ran]
+    world.record(f"requests that had been passed on when their kept channels "
+                 f"closed without an answer: {len(lost)}")
+    world.record(f"requests that may not be repeated "
+                 f"{len(world.once_only)}, run twice {twice()}, foreign "
                  f"answers {found['foreign']}, gateways that crashed {crashed}")
     broken = []
+    if len(lost) > 3:
+        broken.append(f"LOST: {len(lost)} requests were passed on and their "
+                      "kept channels closed without an answer; gateways that "
+                      f"crashed: {crashed}")
     if twice():
         broken.append(f"TWICE: {len(twice())} requests that aren't idempotent "
                       "ran more than once")
     if found["foreign"]:
         broken.append(f"MIXED: {len(found['foreign'])} consumers got the "
                       "answer of another request")
-    if len(found["lost"]) > 3:
-        broken.append(f"LOST: {len(found['lost'])} kept channels were closed "
-                      f"without an answer; gateways that crashed: {crashed}")
     return broken
 
 
