Forget the response of an attempt before the next one

Cause: Call::StartAttempt() kept response_ of the attempt before. After a 421, an attempt whose connection broke before a head was taken for a 421 as well: MarkReplaced() for a sound upstream and a crash at once. Ruled out: a 421 that arrives late on a reused connection (the attempts used new ones).

Change: the response belongs to the current attempt and is empty until its head has arrived. have_head_, which nothing read, is gone.

ReplacedUpstreamsTest/AttemptWithoutResponseInheritsNothing failed before: the sound upstream got 2 requests instead of 3.

--- a/Source/Core/Gateway/Call.cpp
+++ b/Source/Core/Gateway/Call.cpp
@@ -62,7 +62,7 @@
   tried_upstreams.insert(name);
   ++attempts;
   connection_ = std::move(connection);
-  have_head_ = false;
+  response_ = {};
   outcome_by_head_ = AttemptEnd::kAnswered;
   refusal_bytes_ = 0;
   buffer_.clear();
@@ -124,7 +124,6 @@
 
 void Call::OnUpstreamHead(forwarding::UpstreamResponse response) {
   response_ = std::move(response);
-  have_head_ = true;
   gateway.OnStatements(*this, response_.metadata);
   const bool success = IsSuccess(response_.status);
   const bool encoded =
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -134,8 +134,8 @@
   void Deliver(std::string_view bytes);
 
   std::shared_ptr<forwarding::UpstreamConnection> connection_;
+  // Of the current attempt; empty until its head has arrived.
   forwarding::UpstreamResponse response_;
-  bool have_head_ = false;
   // Outcome that the response head implies; kAnswered if it is acceptable.
   AttemptEnd outcome_by_head_ = AttemptEnd::kAnswered;
   std::string buffer_;  // buffered until the response is complete
