Answer banned requests only after the current handler has returned

Cause: the end of an attempt may show a crash (a 421, or a refused connection). OnCrash() then answered and removed every request that is banned from then on, also the one whose attempt OnAttemptEnd() was handling, or the next one in the list of CheckDeadlines(). The handler went on with it: a search or a request for a permit was entered for a removed call, whose memory is freed at the next tick and belongs to another request when the start is granted.

Ruled out: removal by output to a caller that has left (Deliver, Respond, DeliverBuffered): these do nothing afterwards but count, log and remove the call once more, which does nothing; memory is kept until the next tick. Removal by RemoveEngine() in the same function: its outcomes concern calls with a search, and the call in hand has none.

Change: the check for banned requests is posted, so that it runs when no handler holds a call. The call in hand is checked in HandleFailedAttempt() before it is dispatched again, after its verdict is known.

Failed before: RemovedRequestsTest/BannedRequestIsNotDispatchedAgain (a permit was requested for an answered request), /BannedRequestIsAnsweredOnce (two answers counted), /RefusalsOfBannedRequestsEndTogether (memory access violation).

--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -141,7 +141,9 @@
   // Responds to a request that is known to crash upstreams. Returns whether it
   // did.
   bool RefuseIfBanned(Call& call);
-  // The same for all requests that have no response yet.
+  // The same for all requests that have no response yet, once the current
+  // handler has returned.
+  void ScheduleBanCheck();
   void RefuseBannedCalls();
   // Records that the connection of the call's attempt broke.
   void RecordBrokenAttempt(const Call& call);
@@ -259,6 +261,7 @@
   SchedulerClient scheduler_client_;
   // Limits that upstreams state, and the permits to start requests there.
   pacing::LimitTable stated_limits_;
+  bool ban_check_scheduled_ = false;
   std::unordered_map<common::UpstreamName, ReportedLimit> reported_limits_;
   pacing::PermitSearch permits_;
   // Used if this gateway is a permit desk of others.
--- a/Source/Core/Gateway/GatewayCrashes.cpp
+++ b/Source/Core/Gateway/GatewayCrashes.cpp
@@ -1,3 +1,4 @@
+#include <boost/asio/post.hpp>
 #include <string>
 #include <utility>
 
@@ -79,7 +80,7 @@
       "event=upstream_crashed crash={:x} requests={} suspects={}",
       common::ToNumber(crash.id), crash.requests.size(), changed.size());
   suspects::Enqueue(crash_rows_, Now(), changed);
-  RefuseBannedCalls();
+  ScheduleBanCheck();
 }
 
 void Gateway::RecordResponse(const Call& call) {
@@ -93,10 +94,18 @@
   if (result.changed.empty()) return;
   // The others may not know that this gateway has seen answers before.
   suspects::Enqueue(crash_rows_, Now(), result.answered_before);
-  RefuseBannedCalls();
+  ScheduleBanCheck();
+}
+
+// Posted, because a crash may become known while a call is handled, which the
+// check would answer and remove.
+void Gateway::ScheduleBanCheck() {
+  if (std::exchange(ban_check_scheduled_, true)) return;
+  boost::asio::post(environment_.context, [this] { RefuseBannedCalls(); });
 }
 
 void Gateway::RefuseBannedCalls() {
+  ban_check_scheduled_ = false;
   std::vector<Call*> banned;
   for (const auto& [call, owner] : calls_) {
     if (call->HasResponseStarted()) continue;
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -424,6 +424,8 @@
   const bool may_have_run =
       end == AttemptEnd::kBroken || end == AttemptEnd::kInvalid;
   if (may_have_run) call.verdict = common::Verdict::kMayHaveRun;
+  // The end of this attempt may have shown that the request crashes upstreams.
+  if (RefuseIfBanned(call)) return;
   const bool may_retry = !may_have_run || IsRetryable(call);
   const bool attempts_left =
       call.attempts < std::max(call.route->attempts, may_have_run ? 1 : 2);
