Take a refused connection only for the incarnation it was tried for

State of one trial read by the next: after a broken connection a gateway tries the upstream's address. If another incarnation broke a connection meanwhile, the result of the trial for its predecessor counted for it, and its requests became suspects. An address that can't be parsed left the trial open for good.

CrashDetectorTest/TrialTellsOnlyOfItsIncarnation failed before.

--- a/Source/Core/Gateway/CrashDetector.cpp
+++ b/Source/Core/Gateway/CrashDetector.cpp
@@ -32,29 +32,32 @@
     broken.requests.clear();
     broken.started = started;
     broken.since = clock_.Now();
+    broken.trying = false;
   }
   broken.requests.push_back(std::move(request));
   if (broken.trying) return;
-  broken.trying = true;
-  TryConnecting(upstream, endpoint);
+  broken.trying = TryConnecting(upstream, endpoint, started);
 }
 
-void CrashDetector::TryConnecting(const common::UpstreamName& upstream,
-                                  const common::Endpoint& endpoint) {
+bool CrashDetector::TryConnecting(const common::UpstreamName& upstream,
+                                  const common::Endpoint& endpoint,
+                                  std::uint64_t started) {
   error_code ec;
   const auto address = net::ip::make_address(endpoint.address, ec);
-  if (ec) return;
+  if (ec) return false;
   const auto stream = std::make_shared<boost::beast::tcp_stream>(context_);
   stream->expires_after(kConnectTimeout);
   stream->async_connect(net::ip::tcp::endpoint(address, endpoint.port),
-                        [this, stream, upstream](error_code ec) {
+                        [this, stream, upstream, started](error_code ec) {
                           const auto it = broken_.find(upstream);
                           if (it == broken_.end()) return;
+                          if (it->second.started != started) return;
                           it->second.trying = false;
                           if (ec == net::error::connection_refused) {
                             OnEnded(upstream);
                           }
                         });
+  return true;
 }
 
 void CrashDetector::OnEnded(const common::UpstreamName& upstream) {
--- a/Source/Core/Gateway/CrashDetector.h
+++ b/Source/Core/Gateway/CrashDetector.h
@@ -46,8 +46,9 @@
     bool trying = false;
   };
 
-  void TryConnecting(const common::UpstreamName& upstream,
-                     const common::Endpoint& endpoint);
+  // Returns whether a trial has begun.
+  bool TryConnecting(const common::UpstreamName& upstream,
+                     const common::Endpoint& endpoint, std::uint64_t started);
 
   boost::asio::io_context& context_;
   const common::Clock& clock_;
