End a pause of reading with the response that it belongs to

Callers saw: 504 at the time limit for a request that its upstream had answered. A connection whose response ended while reading was paused for a slow caller went back to the pool and never read again, neither the next response nor a close by its peer.

--- a/Source/Core/Forwarding/UpstreamConnection.cpp
+++ b/Source/Core/Forwarding/UpstreamConnection.cpp
@@ -255,6 +255,8 @@
   UpstreamListener* const listener = std::exchange(listener_, nullptr);
   idle_since_ = clock_.Now();
   reused_ = true;
+  // An idle connection reads, to notice that its peer closes it.
+  paused_ = false;
   served_head_only_ = served_head_only_ || request_.head_only;
   const bool reusable = end == ExchangeEnd::kComplete && keep_alive_ &&
                         input_.empty() && sent_ == request_.bytes.size();
--- a/Source/UnitTests/Core/Forwarding/UpstreamConnectionTest.cpp
+++ b/Source/UnitTests/Core/Forwarding/UpstreamConnectionTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -37,12 +38,16 @@
   void OnUpstreamHead(UpstreamResponse response) override {
     status = response.status;
   }
-  void OnUpstreamBody(std::string_view bytes) override { body.append(bytes); }
+  void OnUpstreamBody(std::string_view bytes) override {
+    body.append(bytes);
+    if (on_body) on_body();
+  }
   void OnUpstreamEnd(ExchangeEnd exchange_end) override { end = exchange_end; }
 
   int status = 0;
   std::string body;
   std::optional<ExchangeEnd> end;
+  std::function<void()> on_body;
 };
 
 std::string Response(const std::string& id, const std::string& body) {
@@ -169,6 +174,19 @@
   BOOST_CHECK_EQUAL(listener.body, "whole");
 }
 
+// Guards against a request whose response is never read: reading was paused
+// when the response before it ended.
+BOOST_FIXTURE_TEST_CASE(PauseEndsWithItsResponse, Fixture) {
+  Send("a");
+  listener.on_body = [this] { connection->Pause(); };
+  Reply(Response("a", "first"));
+  BOOST_REQUIRE(connection->IsReusable(clock.Now()));
+  Send("b");
+  Reply(Response("b", "second"));
+  BOOST_CHECK(listener.end == ExchangeEnd::kComplete);
+  BOOST_CHECK_EQUAL(listener.body, "second");
+}
+
 // The next tests guard against an upstream that sends a second copy of a
 // response, late, on a connection in use again: the next caller must not get
 // the response to another request.
