Compute expected waits from a whole list of waiting requests

Callers saw: a refusal although the request could start in time. DeclineUnservable() computed the wait of each request from the list that std::erase_if was moving: a request that had been moved was counted twice, with its cached parts lost.

Change: an element is erased before the next wait is computed, so that a declined request does not lengthen the waits of those after it either.

--- a/Source/Core/Scheduling/EngineScheduler.cpp
+++ b/Source/Core/Scheduling/EngineScheduler.cpp
@@ -240,18 +240,21 @@
 // deadline.
 void DeclineUnservable(EngineScheduler& scheduler, common::TimePoint now,
                        Replies* replies) {
-  std::erase_if(scheduler.waiting, [&](const Waiting& it) {
-    const common::Duration wait = ExpectedWaitOf(scheduler, now, it);
+  // The expected wait depends on all waiting requests, so that the list must be
+  // whole whenever it is computed.
+  for (auto it = scheduler.waiting.begin(); it != scheduler.waiting.end();) {
+    const common::Duration wait = ExpectedWaitOf(scheduler, now, *it);
     const common::Duration left =
-        it.offer.time_to_deadline - (now - it.arrived);
-    if (TimeToFirstEvent(scheduler, it.offer, wait) <= left) {
-      return false;
+        it->offer.time_to_deadline - (now - it->arrived);
+    if (TimeToFirstEvent(scheduler, it->offer, wait) <= left) {
+      ++it;
+      continue;
     }
-    replies->push_back(
-        BuildReply(scheduler, now, it.offer, common::OfferDecision::kDeclined));
+    replies->push_back(BuildReply(scheduler, now, it->offer,
+                                  common::OfferDecision::kDeclined));
     replies->back().wait = wait;
-    return true;
-  });
+    it = scheduler.waiting.erase(it);
+  }
 }
 
 void ReplyQueued(const EngineScheduler& scheduler, common::TimePoint now,
