Don't reuse a connection with bytes after its response

Callers saw: the response to another request. A faulty upstream may send bytes after a complete response. HttpClient kept them in the buffer of the connection, and the next call on it read them as its own response: router, agent, and the clients of the platform's services. The gateway's own connections were not concerned.

HttpClientTest/BytesAfterAResponseReachNoOtherCall failed before: the second call got "stray".

--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -231,7 +231,8 @@
 
   void Complete() {
     const bool reusable =
-        parser_->keep_alive() &&
+    // Bytes after the response belong to no request.
+        parser_->keep_alive() && connection_->buffer.size() == 0 &&
         pool_->KeepsAfter(static_cast<int>(parser_->get().result_int()));
     connection_->stream.expires_never();
     if (reusable) pool_->Release(endpoint_, std::move(connection_));
--- a/Source/UnitTests/Core/Transport/HttpClientTest.cpp
+++ b/Source/UnitTests/Core/Transport/HttpClientTest.cpp
@@ -34,8 +34,11 @@
 // Answers the first request of each connection and is silent on it afterwards.
 class OneAnswerServer {
  public:
-  explicit OneAnswerServer(boost::asio::io_context& context)
-      : acceptor_(context, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+  explicit OneAnswerServer(boost::asio::io_context& context,
+                           std::string following_bytes = "")
+      : acceptor_(context, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        response_("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" +
+                  std::move(following_bytes)) {
     Accept();
   }
 
@@ -58,16 +61,16 @@
       Connection& connection = connections_.back();
       connection.socket.async_read_some(
           boost::asio::buffer(connection.buf),
-          [&connection](boost::system::error_code ec, std::size_t) {
+          [this, &connection](boost::system::error_code ec, std::size_t) {
             if (ec) return;
-            WriteText(connection.socket,
-                      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            WriteText(connection.socket, response_);
           });
       Accept();
     });
   }
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  const std::string response_;
   std::list<Connection> connections_;
 };
 
@@ -120,6 +123,26 @@
   BOOST_CHECK(Fetch() == CallEnd::kComplete);
 }
 
+// Guards against a call that gets bytes which the server has sent after the
+// response to the call before it, as its own response.
+BOOST_AUTO_TEST_CASE(BytesAfterAResponseReachNoOtherCall) {
+  boost::asio::io_context context;
+  OneAnswerServer server(context,
+                         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+  HttpClient client(context);
+  for (int i = 0; i < 2; ++i) {
+    std::optional<std::string> body;
+    client.Fetch(server.Address(), {.method = "GET", .target = "/"},
+                 std::chrono::seconds(5),
+                 [&body](CallEnd, const HttpResponse& it) { body = it.body; });
+    while (!body) {
+      context.restart();
+      context.run_one_for(std::chrono::seconds(5));
+    }
+    BOOST_CHECK_EQUAL(*body, "ok");
+  }
+}
+
 // Guards against reporting that a request did not run although it may have run:
 // only kNotSent proves that the server did not receive it.
 BOOST_AUTO_TEST_CASE(FailuresAreDistinguished) {
