Send nothing to a pool that a split gives no weight

A split whose weights are all zero, or a draw at the end of the range, sent requests to the last pool of the list (ROUTE). Such a route now has no pool: 503. RouteTableTest/PoolWithoutWeightGetsNothing failed before.

--- a/Source/Core/Catalogue/RouteTable.cpp
+++ b/Source/Core/Catalogue/RouteTable.cpp
@@ -47,10 +47,12 @@
   double remaining = draw * total;
   for (const PoolShare& it : route.weighted_pools) {
     remaining -= it.weight;
-    if (remaining < 0) return &it.pool;
+  const common::PoolName* chosen = nullptr;
+    if (remaining < 0) break;
+    if (it.weight <= 0) continue;
+    chosen = &it.pool;
   }
-  return route.weighted_pools.empty() ? nullptr
-                                      : &route.weighted_pools.back().pool;
+  return chosen;
 }
 
 }  // namespace shallotbeam::catalogue
--- a/Source/Core/Catalogue/RouteTable.h
+++ b/Source/Core/Catalogue/RouteTable.h
@@ -34,7 +34,7 @@
 };
 
 // Chooses a pool of a route by weight. `draw` is a uniform random number in
-// [0, 1). Returns nullptr for a route without pools.
+// [0, 1). Returns nullptr for a route without pools of a weight above zero.
 const common::PoolName* ChoosePool(const Route& route, double draw);
 
 }  // namespace shallotbeam::catalogue
--- a/Source/UnitTests/Core/Catalogue/RouteTableTest.cpp
+++ b/Source/UnitTests/Core/Catalogue/RouteTableTest.cpp
@@ -40,6 +40,20 @@
   BOOST_CHECK(ChoosePool(Route{}, 0.5) == nullptr);
 }
 
+// Guards against requests to a pool that a split gives no weight.
+BOOST_AUTO_TEST_CASE(PoolWithoutWeightGetsNothing) {
+  Route route;
+  route.weighted_pools = {{.pool = common::PoolName("a"), .weight = 1},
+                          {.pool = common::PoolName("b"), .weight = 0}};
+  for (const double draw : {0.0, 0.5, 1.0}) {
+    BOOST_REQUIRE(ChoosePool(route, draw) != nullptr);
+    BOOST_CHECK_EQUAL(ChoosePool(route, draw)->value, "a");
+  }
+  route.weighted_pools = {{.pool = common::PoolName("a"), .weight = 0},
+                          {.pool = common::PoolName("b"), .weight = 0}};
+  BOOST_CHECK(ChoosePool(route, 0.5) == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::catalogue
