Tell an empty list of workspaces from an absent one

Cause: the gateway checked credentials only if the list of workspaces was not empty, and the decoder took a list that is absent, null or a table for an empty one. Ruled out: a version that is not applied (the withdrawn credential of the version before ran as well).

Change: the decoder says whether the list is there. With an empty list no credential is valid: 401. A list or field of another type, a negative limit, a version that is no whole number, an engine without slots (a scheduler takes zero for no limit) make the configuration malformed instead of reading as none. An empty credential matches nothing; a request without one had it. Without a list, the page needs no credential; where a deployment states a bound for revocations, its gateways get the setting credentials=required and answer 503: a configuration that lacks the list has taken all credentials away.

--- a/Source/Core/Catalogue/Model.h
+++ b/Source/Core/Catalogue/Model.h
@@ -79,9 +79,12 @@
   // Service rate of all engines together; absent if not configured.
   std::optional<double> tokens_per_second;
   std::vector<Workspace> workspaces;
-  // Index into `workspaces` by credential. If there are no workspaces, callers
-  // need no credential.
+  // Index into `workspaces` by credential.
   std::unordered_map<std::string, std::size_t> credentials;
+  // Whether routes that require a credential check it. False only if the
+  // configuration has no list of workspaces at all; with an empty list, no
+  // credential is valid.
+  bool checks_credentials = true;
 };
 
 }  // namespace shallotbeam::catalogue
--- a/Source/Core/Catalogue/RouteTable.cpp
+++ b/Source/Core/Catalogue/RouteTable.cpp
@@ -36,6 +36,8 @@
 
 const Workspace* RouteTable::FindWorkspace(
     const std::string& credential) const {
+  // Without a credential, a request must not match an empty one.
+  if (credential.empty()) return nullptr;
   const auto it = catalogue_.credentials.find(credential);
   if (it == catalogue_.credentials.end()) return nullptr;
   return &catalogue_.workspaces[it->second];
@@ -45,12 +47,12 @@
   int total = 0;
   for (const PoolShare& it : route.weighted_pools) total += it.weight;
   double remaining = draw * total;
-  for (const PoolShare& it : route.weighted_pools) {
-    remaining -= it.weight;
   const common::PoolName* chosen = nullptr;
-    if (remaining < 0) break;
+  for (const PoolShare& it : route.weighted_pools) {
     if (it.weight <= 0) continue;
     chosen = &it.pool;
+    remaining -= it.weight;
+    if (remaining < 0) break;
   }
   return chosen;
 }
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -403,6 +403,23 @@
   Route(call);
 }
 
+bool Gateway::RefuseCredential(Call& call, bool stale, bool may_lack_changes) {
+  const bool checked = table_->Source().checks_credentials;
+  if (!checked && !RequiresCredentials(settings_)) return false;
+  const auto refuse = [&](std::string_view reason) {
+    Respond(call, kUnavailable, reason, kDefaultRetryAfter);
+    return true;
+  };
+  // The credential may have been revoked since the last update from the store.
+  if (stale) return refuse("store_unreachable");
+  if (!checked) return refuse("no_workspaces");
+  call.workspace = table_->FindWorkspace(call.metadata.credential);
+  if (call.workspace != nullptr) return false;
+  if (may_lack_changes) return refuse("copy_outdated");
+  Respond(call, kUnauthorized, "bad_credential");
+  return true;
+}
+
 void Gateway::Route(Call& call) {
   call.table = table_;
   if (table_ == nullptr) return Respond(call, kUnavailable, "no_configuration");
@@ -421,21 +438,9 @@
     if (!may_lack_changes) return Respond(call, kNotFound, "no_route");
     return Respond(call, kUnavailable, "copy_outdated", kDefaultRetryAfter);
   }
-  const bool has_workspaces = !table_->Source().workspaces.empty();
-  if (has_workspaces && call.route->requires_credential) {
-    // The credential may have been revoked since the last update from the
-    // store.
-    if (stale) {
-      return Respond(call, kUnavailable, "store_unreachable",
-                     kDefaultRetryAfter);
-    }
-    call.workspace = table_->FindWorkspace(call.metadata.credential);
-    if (call.workspace == nullptr) {
-      if (!may_lack_changes) {
-        return Respond(call, kUnauthorized, "bad_credential");
-      }
-      return Respond(call, kUnavailable, "copy_outdated", kDefaultRetryAfter);
-    }
+  if (call.route->requires_credential &&
+      RefuseCredential(call, stale, may_lack_changes)) {
+    return;
   }
   call.deadline =
       std::min(call.deadline, call.request.arrived + call.route->timeout);
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -182,6 +182,9 @@
   std::vector<const common::UpstreamName*> EnginesWithinLimits(
       std::vector<const common::UpstreamName*> candidates) const;
 
+  // Responds to a call whose credential can't be accepted. Returns whether it
+  // did; otherwise the call has its workspace, if the route requires one.
+  bool RefuseCredential(Call& call, bool stale, bool may_lack_changes);
   void Route(Call& call);
   // Sends the call to an upstream, starts a placement search, or responds with
   // an error.
@@ -253,6 +256,7 @@
   CrashDetector crash_detector_;
   suspects::CrashEvidence crash_evidence_;
   suspects::CrashRowQueue crash_rows_;  // of this gateway's own requests
+  bool ban_check_scheduled_ = false;
   // Latest statements of upstreams that stated anything.
   std::unordered_map<common::UpstreamName, forwarding::UpstreamStatements>
       stated_;
@@ -261,7 +265,6 @@
   SchedulerClient scheduler_client_;
   // Limits that upstreams state, and the permits to start requests there.
   pacing::LimitTable stated_limits_;
-  bool ban_check_scheduled_ = false;
   std::unordered_map<common::UpstreamName, ReportedLimit> reported_limits_;
   pacing::PermitSearch permits_;
   // Used if this gateway is a permit desk of others.
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr const char* kRequired = "required";
 constexpr std::chrono::milliseconds kMinDuration{1};
 constexpr std::chrono::milliseconds kMaxDuration = std::chrono::hours(1);
 constexpr int kLargestMaxOffers = 100;
@@ -14,6 +15,10 @@
 
 }  // namespace
 
+bool RequiresCredentials(const GatewaySettings& settings) {
+  return settings.credentials == kRequired;
+}
+
 bool IsRelay(const GatewaySettings& settings) {
   return std::any_of(settings.relays.begin(), settings.relays.end(),
                      [&settings](const common::Endpoint& it) {
@@ -56,6 +61,10 @@
                           &target->relays),
       settings::LogLevels("log", "log levels by subsystem",
                           &target->log_levels),
+      settings::Choice("credentials",
+                       "whether callers need a credential under a "
+                       "configuration without a list of workspaces",
+                       {kRequired, "if_configured"}, &target->credentials),
       Milliseconds("revocation-limit-ms",
                    "longest time for which a withdrawn credential is served",
                    kMinDuration, kMaxDuration, &target->revocation_limit),
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -24,6 +24,9 @@
   std::vector<common::Endpoint> relays;
   std::string log_levels = "info";
 
+  // "required" or "if_configured": whether callers need a credential under a
+  // configuration without a list of workspaces.
+  std::string credentials = "if_configured";
   // A revoked credential must not be accepted for longer than this.
   std::chrono::milliseconds revocation_limit{5'000};
   // Times within which a change of the configuration, and the draining of an
@@ -41,6 +44,8 @@
   int max_offers = 2;
 };
 
+bool RequiresCredentials(const GatewaySettings& settings);
+
 // Whether this gateway is one of the relays.
 bool IsRelay(const GatewaySettings& settings);
 
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -97,8 +97,10 @@
     .append_upstream_headers = AppendUpstreamHeaders,
     .request_id_header = "Id"};
 
-GatewaySettings TestSettings(std::vector<common::Endpoint> relays) {
+GatewaySettings TestSettings(std::vector<common::Endpoint> relays,
+                             const std::string& credentials) {
   GatewaySettings settings;
+  settings.credentials = credentials;
   settings.relays = std::move(relays);
   settings.callers = {.address = std::string(kLocal), .port = 0};
   return settings;
@@ -251,7 +253,8 @@
 }
 
 GatewayFixture::GatewayFixture(bool with_workspaces,
-                               std::vector<common::Endpoint> relays) {
+                               std::vector<common::Endpoint> relays,
+                               const std::string& credentials) {
   catalogue::Route order = TestRoute("/order/");
   catalogue::Route lookup = TestRoute("/look/");
   lookup.repetition = catalogue::Repetition::kRepeatable;
@@ -271,7 +274,8 @@
     catalogue.credentials = {{"secret", 0}};
   }
   gateway = std::make_unique<Gateway>(
-      TestSettings(std::move(relays)), static_cast<common::Incarnation>(1),
+      TestSettings(std::move(relays), credentials),
+      static_cast<common::Incarnation>(1),
       GatewayEnvironment{
           .context = context,
           .clock = clock,
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -101,7 +101,8 @@
 class GatewayFixture {
  public:
   explicit GatewayFixture(bool with_workspaces = false,
-                          std::vector<common::Endpoint> relays = {});
+                          std::vector<common::Endpoint> relays = {},
+                          const std::string& credentials = "if_configured");
 
   // Puts an entry for an upstream of the pool "plain" into the store.
   void AddUpstream(const std::string& name, const common::Endpoint& endpoint,
--- a/Source/UnitTests/Platform/StoreItemsTest.cpp
+++ b/Source/UnitTests/Platform/StoreItemsTest.cpp
@@ -1,4 +1,7 @@
 #include <boost/test/unit_test.hpp>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "RequestHeaders.h"
 #include "StoreItems.h"
@@ -64,14 +67,82 @@
   BOOST_CHECK(catalogue.workspaces[0].priority == 2);
 }
 
+// Whether the text is no configuration.
+bool IsUnreadable(const std::string& text) {
+  const auto change = Decode("op/config", text);
+  return !change || !change->catalogue;
+}
+
+// The configuration with each `from` replaced.
+std::string Replaced(const std::string& from, const std::string& to) {
+  std::string text = kConfiguration;
+  const std::size_t at = text.find(from);
+  BOOST_REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
 // Guards against a malformed configuration that replaces the one in force.
 BOOST_AUTO_TEST_CASE(MalformedConfigurationIsIgnored) {
   const std::string text = kConfiguration;
   for (std::size_t n = 0; n < text.size() - 1; n += 7) {
-    const auto change = Decode("op/config", text.substr(0, n));
-    BOOST_CHECK(!change || !change->catalogue);
+    BOOST_CHECK(IsUnreadable(text.substr(0, n)));
+  }
+  BOOST_CHECK(IsUnreadable(R"({"version": "new", "routes": 3})"));
+}
+
+// Guards against an empty or a malformed list of workspaces that is taken for
+// none at all, so that no credential is checked.
+BOOST_AUTO_TEST_CASE(EmptyListOfWorkspacesIsNotAbsent) {
+  const std::string list =
+      R"("tenants": [{"name": "w", "apiKeys": ["k1", "k2"], "priority": 2}])";
+  const auto decode = [&](const std::string& to) {
+    const auto change = Decode("op/config", Replaced(list, to));
+    BOOST_REQUIRE(change && change->catalogue);
+    BOOST_CHECK(change->catalogue->credentials.empty());
+    return change->catalogue->checks_credentials;
+  };
+  BOOST_CHECK(decode(R"("tenants": [])"));
+  BOOST_CHECK(decode(R"("tenants": [{"name": "w", "apiKeys": []}])"));
+  BOOST_CHECK(!decode(R"("other": [])"));
+  for (const char* malformed :
+       {"null", "{}", "0", "false", "\"\"", "\"w\"", "[null]", "[{}]",
+        R"([{"name": "", "apiKeys": []}])", R"([{"name": "w"}])",
+        R"([{"name": "w", "apiKeys": null}])",
+        R"([{"name": "w", "apiKeys": {}}])",
+        R"([{"name": "w", "apiKeys": [null]}])"}) {
+    BOOST_TEST_CONTEXT(malformed) {
+      BOOST_CHECK(IsUnreadable(
+          Replaced(list, std::string(R"("tenants": )") + malformed)));
+    }
+  }
+}
+
+// Guards against malformed values that read as a limit of nothing, as an engine
+// without slots, as no routes, or as a version that no other one follows.
+BOOST_AUTO_TEST_CASE(MalformedValuesLimitAndRouteNothing) {
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {R"("version": 7)", R"("version": -1)"},
+      {R"("version": 7)", R"("version": 7.5)"},
+      {R"("routes": [)", R"("routes": null, "x": [)"},
+      {R"("services": [)", R"("services": {}, "x": [)"},
+      {R"("limits": {)", R"("limits": [], "x": {)"},
+      {R"("limits": {)", R"("limits": {"maxBodyBytes": -1, )"},
+      {R"("limits": {)", R"("limits": {"maxHeaderBytes": 1e30, )"},
+      {R"("limits": {)", R"("limits": {"headerTimeoutMs": -5, )"},
+      {R"("limits": {)", R"("limits": {"idleTimeoutMs": 1e300, )"},
+      {R"("tokensPerS": 410000)", R"("tokensPerS": "many")"},
+      {R"("tokensPerS": 410000)", R"("tokensPerS": -1)"},
+      {R"("engine": {"slots": 32)", R"("engine": {"slots": 0)"},
+      {R"("engine": {"slots": 32)", R"("engine": {"slots": -1)"},
+      {R"("engine": {)", R"("engine": "none", "x": {)"},
+      {R"("kvCapacity": 5000)", R"("kvCapacity": -1)"},
+      {R"("timeoutMs": 12000)", R"("timeoutMs": true)"},
+      {R"("anonymous": true)", R"("anonymous": null)"},
+      {R"("split": [)", R"("split": "plain", "x": [)"},
+      {R"("weight": 1)", R"("weight": -1)"}};
+  for (const auto& [from, to] : cases) {
+    BOOST_TEST_CONTEXT(to) { BOOST_CHECK(IsUnreadable(Replaced(from, to))); }
   }
-  BOOST_CHECK(!Decode("op/config", R"({"version": "new", "routes": 3})"));
 }
 
 // Guards against requests to an upstream that is neither ready nor draining, or
