Refuse credentials while the newest configuration can't be read

Callers saw: withdrawn credentials that stay valid for good. A configuration that could not be read was dropped, and so was the removal of the configuration: the one before stayed in force, with the credentials that the newer one may have withdrawn. A gateway that restarted had none and answered 503, the others did not.

Requests whose route requires a credential get 503 with Retry-After until a newer one comes into force; routes without credentials go on. A relay passes it on, and a restored store that hands out an older configuration does not end it.

The test MalformedConfigurationIsIgnored of StoreItemsTest expected no change at all for a malformed configuration; it is as strict now and expects one that says so (MalformedConfigurationIsReported).

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -307,7 +307,7 @@
 }
 
 bool Gateway::IsRelayed(const FleetChange& change) const {
-  if (change.catalogue) return true;
+  if (change.catalogue || change.configuration_unreadable) return true;
   const auto known = upstreams_.upstreams.find(change.upstream);
   if (known == upstreams_.upstreams.end()) return change.entry.has_value();
   return !change.entry || !known->second.listed ||
@@ -316,11 +316,19 @@
 
 void Gateway::ApplyChange(const FleetChange& change,
                           common::StorePosition position) {
+  if (change.configuration_unreadable) {
+    unreadable_configuration_ = position;
+    Log(Subsystem::kConfig, LogLevel::kError,
+        "event=config_unreadable in_force={} effect=credentials_refused",
+        VersionOf(table_.get()));
+    return;
+  }
   if (change.catalogue) {
     const auto known_version = table_ == nullptr ? common::ConfigVersion::kNone
                                                  : table_->Source().version;
     if (change.catalogue->version <= known_version) return;
     table_ = std::make_shared<catalogue::RouteTable>(*change.catalogue);
+    unreadable_configuration_.reset();
     limits_ = table_->Source().limits;
     scheduler_client_.SetServiceRate(table_->Source().tokens_per_second);
     for (const auto& [name, it] : upstreams_.upstreams) RegisterEngine(it);
@@ -410,8 +418,10 @@
     Respond(call, kUnavailable, reason, kDefaultRetryAfter);
     return true;
   };
-  // The credential may have been revoked since the last update from the store.
+  // The credential may have been revoked since the last update from the store,
+  // or by a configuration that can't be read.
   if (stale) return refuse("store_unreachable");
+  if (unreadable_configuration_) return refuse("configuration_unreadable");
   if (!checked) return refuse("no_workspaces");
   call.workspace = table_->FindWorkspace(call.metadata.credential);
   if (call.workspace != nullptr) return false;
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -40,6 +40,8 @@
 struct FleetChange {
   // Set if the item is a configuration.
   std::optional<catalogue::Catalogue> catalogue;
+  // The item is a configuration that can't be read or was removed.
+  bool configuration_unreadable = false;
   // Set if the item is the entry of an upstream. `entry` is absent if the entry
   // was removed or can't be used.
   common::UpstreamName upstream;
@@ -251,6 +253,9 @@
   platform_clients::StoreSession store_;
   std::optional<ChangeRelay> change_relay_;  // if this gateway is a relay
   std::shared_ptr<const catalogue::RouteTable> table_;
+  // Where the store has a configuration that can't be read and follows the one
+  // in force. It may have withdrawn credentials.
+  std::optional<common::StorePosition> unreadable_configuration_;
   balancing::UpstreamTable upstreams_;
   balancing::EjectionState ejections_;
   CrashDetector crash_detector_;
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -364,6 +364,10 @@
   Change({.catalogue = it});
 }
 
+void GatewayFixture::PutUnreadableConfiguration() {
+  Change({.configuration_unreadable = true});
+}
+
 std::string GatewayFixture::Exchange(const std::string& path) {
   Caller caller(context, gateway->CallersPort());
   caller.Send(Request(path));
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -109,6 +109,7 @@
                    bool draining = false);
   void RemoveUpstream(const std::string& name);
   void PutCatalogue(const catalogue::Catalogue& catalogue);
+  void PutUnreadableConfiguration();
 
   // Restores the store from a copy that has only the changes with these
   // numbers, which count from 0, the first configuration. Its revisions go
--- a/Source/UnitTests/Core/Gateway/WithdrawnCredentialsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/WithdrawnCredentialsTest.cpp
@@ -1,7 +1,12 @@
 #include <boost/test/unit_test.hpp>
+#include <memory>
+#include <optional>
 #include <string>
 
 #include "Core/Gateway/GatewayFixture.h"
+#include "PlatformClients/RelayCodec.h"
+#include "Transport/HttpClient.h"
+#include "Transport/HttpServer.h"
 
 // Which requests a gateway serves once a configuration has taken credentials
 // away, or may have.
@@ -75,6 +80,51 @@
   }
 }
 
+// Guards against withdrawn credentials that stay valid because the
+// configuration that withdraws them can't be read.
+BOOST_FIXTURE_TEST_CASE(UnreadableConfigurationEndsCredentials, Fixture) {
+  PutUnreadableConfiguration();
+  BOOST_CHECK_EQUAL(Statuses(), "503 503 503 200");
+  PutNext();
+  BOOST_CHECK_EQUAL(Statuses(), "200 401 401 200");
+}
+
+// The same where the store is restored from a copy without the unreadable
+// configuration.
+BOOST_FIXTURE_TEST_CASE(RestoredStoreDoesNotBringCredentialsBack, Fixture) {
+  PutUnreadableConfiguration();
+  RestoreStore({0, 1, 2});
+  BOOST_CHECK_EQUAL(Statuses(), "503 503 503 200");
+  PutNext();
+  BOOST_CHECK_EQUAL(Statuses(), "200 401 401 200");
+}
+
+// Guards against gateways that follow a relay and keep withdrawn credentials,
+// because the relay drops a configuration that it can't read.
+BOOST_AUTO_TEST_CASE(RelayPassesAnUnreadableConfigurationOn) {
+  GatewayFixture relay(/*with_workspaces=*/true, {{"127.0.0.1", 1}});
+  const auto server = *transport::HttpServer::Listen(
+      relay.context, {.endpoint = {.address = "127.0.0.1", .port = 0}},
+      [&](const std::shared_ptr<transport::HttpExchange>& it) {
+        relay.gateway->OnRelayPoll(it);
+      });
+  relay.PutUnreadableConfiguration();
+  transport::HttpClient client(relay.context);
+  std::optional<transport::HttpResponse> response;
+  client.Fetch({.address = "127.0.0.1", .port = server->Port()},
+               {.method = "GET",
+                .target = platform_clients::EncodeRelayPoll(
+                    {.position = {.revision = 1}})},
+               std::chrono::seconds(5),
+               [&](transport::CallEnd, const transport::HttpResponse& it) {
+                 response = it;
+               });
+  relay.RunUntil([&] { return response.has_value(); });
+  const auto result = platform_clients::DecodeRelayResult(response->body);
+  BOOST_REQUIRE(result);
+  BOOST_CHECK_EQUAL(result->changes.size(), 1);
+}
+
 // Guards against a request without a credential that passes with an empty one.
 BOOST_FIXTURE_TEST_CASE(EmptyCredentialIsNone, Fixture) {
   catalogue.credentials[""] = 0;
--- a/Source/UnitTests/Platform/StoreItemsTest.cpp
+++ b/Source/UnitTests/Platform/StoreItemsTest.cpp
@@ -67,10 +67,11 @@
   BOOST_CHECK(catalogue.workspaces[0].priority == 2);
 }
 
-// Whether the text is no configuration.
+// Whether the text is reported as a configuration that can't be read.
 bool IsUnreadable(const std::string& text) {
   const auto change = Decode("op/config", text);
-  return !change || !change->catalogue;
+  BOOST_REQUIRE(change);
+  return !change->catalogue && change->configuration_unreadable;
 }
 
 // The configuration with each `from` replaced.
@@ -81,8 +82,9 @@
   return text.replace(at, from.size(), to);
 }
 
-// Guards against a malformed configuration that replaces the one in force.
-BOOST_AUTO_TEST_CASE(MalformedConfigurationIsIgnored) {
+// Guards against a malformed configuration that replaces the one in force, and
+// against one that passes unnoticed although it may withdraw credentials.
+BOOST_AUTO_TEST_CASE(MalformedConfigurationIsReported) {
   const std::string text = kConfiguration;
   for (std::size_t n = 0; n < text.size() - 1; n += 7) {
     BOOST_CHECK(IsUnreadable(text.substr(0, n)));
@@ -90,6 +92,15 @@
   BOOST_CHECK(IsUnreadable(R"({"version": "new", "routes": 3})"));
 }
 
+// Guards against a configuration that is gone and leaves withdrawn credentials
+// in force.
+BOOST_AUTO_TEST_CASE(RemovedConfigurationIsReported) {
+  const auto change =
+      DecodeItem({.item = {.key = "op/config"}, .removed = true});
+  BOOST_REQUIRE(change);
+  BOOST_CHECK(change->configuration_unreadable);
+}
+
 // Guards against an empty or a malformed list of workspaces that is taken for
 // none at all, so that no credential is checked.
 BOOST_AUTO_TEST_CASE(EmptyListOfWorkspacesIsNotAbsent) {
