Bound the body that router and agent collect of a response

Operators saw: a faulty replica sent a body without end, the machine that had called it kept all of it and ran out of memory; its other requests ended with it. The same happened here: an agent collects a response that is no stream of events, and a router that of an agent, without a limit (64 MiB were sent, growth of 67 MB, no end). The gateway and the collected responses of the platform's services have had bounds.

Change: more than 8 MiB end the call. At an agent it counts as an error of the upstream, not as a crash, so that no other request becomes a suspect. A line of a watch has the same bound.

EndlessUpstreamTest/AgentEndsABodyWithoutEnd and /RouterEndsABodyWithoutEnd failed before.

--- a/Source/Core/PlatformClients/EtcdStore.cpp
+++ b/Source/Core/PlatformClients/EtcdStore.cpp
@@ -103,6 +103,9 @@
       .dump();
 }
 
+// A longer line of a watch is no message.
+constexpr std::size_t kMaxWatchLineBytes = 8'388'608;
+
 // Parses the response stream of a watch: one JSON object per line, each with a
 // list of events.
 class WatchStreamParser {
@@ -110,13 +113,15 @@
   explicit WatchStreamParser(WatchHandlers handlers)
       : handlers_(std::move(handlers)) {}
 
-  void Append(const std::string& piece) {
+  // Returns false if a line is longer than a message can be.
+  bool Append(const std::string& piece) {
     buffer_ += piece;
     for (std::size_t end = buffer_.find('\n'); end != std::string::npos;
          end = buffer_.find('\n')) {
       ParseLine(buffer_.substr(0, end));
       buffer_.erase(0, end + 1);
     }
+    return buffer_.size() <= kMaxWatchLineBytes;
   }
   void End() const { handlers_.on_end(); }
 
@@ -257,8 +262,8 @@
        .on_body =
            [parser](const std::string& piece,
                     const std::function<void()>& resume) {
-             parser->Append(piece);
              resume();
+             return parser->Append(piece);
            },
        .on_end = [parser](CallEnd) { parser->End(); }}));
 }
--- a/Source/Core/Runtime/DispatchCall.cpp
+++ b/Source/Core/Runtime/DispatchCall.cpp
@@ -51,12 +51,14 @@
     post_event_(routing::ResponseStarted{.id = id_, .attempt = attempt_});
   }
 
-  void OnBody(std::string piece, std::function<void()> resume) {
+  bool OnBody(std::string piece, std::function<void()> resume) {
     if (streamed_) {
-      return exchange_->Write(std::move(piece), std::move(resume), attempt_);
+      exchange_->Write(std::move(piece), std::move(resume), attempt_);
+      return true;
     }
-    response_.body += piece;
+    if (!Collect(piece, &response_.body)) return false;
     resume();
+    return true;
   }
 
   void OnEnd(CallEnd end) {
--- a/Source/Core/Runtime/UpstreamCall.cpp
+++ b/Source/Core/Runtime/UpstreamCall.cpp
@@ -59,10 +59,11 @@
     if (streamed_) exchange_->StartStream(response_);
   }
 
-  void OnBody(std::string piece, std::function<void()> resume) {
+  bool OnBody(std::string piece, std::function<void()> resume) {
     if (!streamed_) {
-      response_.body += piece;
-      return resume();
+      too_long_ = !Collect(piece, &response_.body);
+      if (!too_long_) resume();
+      return !too_long_;
     }
     FeedEventStream(meter_, piece);
     if (meter_.generated_tokens >= reported_tokens_ + kProgressTokens) {
@@ -71,12 +72,15 @@
           .id = options_.id, .generated_tokens = reported_tokens_});
     }
     exchange_->Write(std::move(piece), std::move(resume));
+    return true;
   }
 
   void OnEnd(CallEnd end) {
     if (end == CallEnd::kCancelled) return;
-    if (!streamed_) FeedCompleteBody(meter_, response_.body);
-    const UpstreamOutcome outcome = OutcomeOf(end, response_.status);
+    if (!streamed_ && !too_long_) FeedCompleteBody(meter_, response_.body);
+    // Ended by this process, so that it is no sign of a crash.
+    const UpstreamOutcome outcome =
+        too_long_ ? UpstreamOutcome::kError : OutcomeOf(end, response_.status);
     const std::size_t response_bytes = response_.body.size();
     if (outcome == UpstreamOutcome::kCompleted) Complete();
     handlers_.post_event(
@@ -101,6 +105,7 @@
   UsageMeter meter_;
   std::uint64_t reported_tokens_ = 0;
   bool streamed_ = false;
+  bool too_long_ = false;  // the collected body has exceeded its limit
 };
 
 }  // namespace
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -221,17 +221,18 @@
     if (n > body_bytes_left_) return End(CallEnd::kBroken);
     body_bytes_left_ -= n;
     if (n == 0 || !handlers_.on_body) return ReadBody();
-    handlers_.on_body(std::string(piece_.data(), n),
-                      [self = shared_from_this()] {
-                        net::post(self->executor_, [self] {
-                          if (!self->ended_) self->ReadBody();
-                        });
-                      });
+    const bool accepted = handlers_.on_body(
+        std::string(piece_.data(), n), [self = shared_from_this()] {
+          net::post(self->executor_, [self] {
+            if (!self->ended_) self->ReadBody();
+          });
+        });
+    if (!accepted) End(CallEnd::kBroken);
   }
 
   void Complete() {
-    const bool reusable =
     // Bytes after the response belong to no request.
+    const bool reusable =
         parser_->keep_alive() && connection_->buffer.size() == 0 &&
         pool_->KeepsAfter(static_cast<int>(parser_->get().result_int()));
     connection_->stream.expires_never();
@@ -322,6 +323,7 @@
                       const std::function<void()>& resume) {
              response->body += piece;
              resume();
+             return true;
            },
        .on_end = [response, handler = std::move(handler)](
                      CallEnd end) { handler(end, std::move(*response)); }});
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -33,8 +33,8 @@
 struct CallHandlers {
   std::function<void(const ResponseHead&)> on_head;
   // Receives a piece of the body. The next piece is read only after `resume`
-  // has been called, on any thread.
-  std::function<void(std::string piece, std::function<void()> resume)> on_body;
+  // has been called, on any thread. Returns false to end the call as broken.
+  std::function<bool(std::string piece, std::function<void()> resume)> on_body;
   std::function<void(CallEnd)> on_end;  // always the last call
 };
 
--- a/Source/TestTools/Load/BaselineProxy.cpp
+++ b/Source/TestTools/Load/BaselineProxy.cpp
@@ -152,10 +152,12 @@
        .on_body =
            [job](std::string piece, std::function<void()> resume) {
              if (job->streamed) {
-               return job->exchange->Write(std::move(piece), std::move(resume));
+               job->exchange->Write(std::move(piece), std::move(resume));
+               return true;
              }
              job->response.body += piece;
              resume();
+             return true;
            },
        .on_end = [this, job](CallEnd end) { OnEnd(job, end); }});
 }
--- a/Source/TestTools/Load/Generator.cpp
+++ b/Source/TestTools/Load/Generator.cpp
@@ -228,6 +228,7 @@
            [this, request](const std::string& piece,
                            const std::function<void()>& resume) {
              OnBody(request, piece, resume);
+             return true;
            },
        .on_end = [this, request](CallEnd end) { OnEnd(request, end); }});
 }
--- a/Source/TestTools/ProcessScenarios/Callers.cpp
+++ b/Source/TestTools/ProcessScenarios/Callers.cpp
@@ -137,6 +137,7 @@
                                    const auto& continue_reading) {
     calls_[index].response += chunk;
     continue_reading();
+    return true;
   };
   handlers.on_end = [this, index, verdict](CallEnd end) {
     End(calls_[index], end, *verdict);
