Start nothing at an agent whose pool was taken out of the configuration

An agent kept the slots of its pool when a newer configuration had no such pool, and went on starting requests; after a restart it would not have. It now rejects what waits and what comes, and says that it has no configuration. LifecycleTest/AgentOfARemovedPoolStartsNothing failed before.

--- a/Source/Core/Admission/Control.cpp
+++ b/Source/Core/Admission/Control.cpp
@@ -8,7 +8,7 @@
 
 protocol::AgentState ReportedState(const AgentState& state) {
   if (IsLeaving(state)) return protocol::AgentState::kDraining;
-  if (state.config.version == common::ConfigVersion::kNone) {
+  if (!IsConfigured(state)) {
     return protocol::AgentState::kNoConfiguration;
   }
   if (!state.upstream_up) return protocol::AgentState::kUpstreamDown;
@@ -248,7 +248,12 @@
   if (config.version <= state.config.version) return;
   state.config = config;
   const auto pool = config.pools.find(state.options.pool);
-  if (pool != config.pools.end()) Configure(state.limit, pool->second);
+  if (pool != config.pools.end()) {
+    Configure(state.limit, pool->second);
+  } else {
+    RejectAllWaiting(context, common::Reason::kNoConfiguration);
+    ReleaseGrants(context, {});
+  }
   for (const auto& [name, workspace] : config.workspaces) {
     fairness::SetWeight(state.ledger, {state.options.pool, name},
                         workspace.weight);
@@ -264,6 +269,10 @@
   StopAccepting(context);
 }
 
+bool IsConfigured(const AgentState& state) {
+  return state.config.pools.contains(state.options.pool);
+}
+
 bool IsLeaving(const AgentState& state) {
   return state.draining || state.listed_leaving;
 }
--- a/Source/Core/Admission/Offers.cpp
+++ b/Source/Core/Admission/Offers.cpp
@@ -129,7 +129,7 @@
 std::optional<Reason> CheckOffer(const Context& context,
                                  const Attempt& attempt) {
   const AgentState& state = context.state;
-  if (state.config.version == common::ConfigVersion::kNone) {
+  if (!IsConfigured(state)) {
     return Reason::kNoConfiguration;
   }
   if (IsLeaving(state)) return Reason::kDraining;
--- a/Source/Core/Admission/Slots.cpp
+++ b/Source/Core/Admission/Slots.cpp
@@ -157,7 +157,7 @@
 
 void FillSlots(Context& context) {
   AgentState& state = context.state;
-  const bool configured = SlotLimit(state.limit) > 0;
+  const bool configured = IsConfigured(state) && SlotLimit(state.limit) > 0;
   if (!configured || IsLeaving(state) || !state.upstream_up) return;
   if (!HasRouterContact(state)) return;
   StartGranted(context);
--- a/Source/UnitTests/Core/Admission/LifecycleTest.cpp
+++ b/Source/UnitTests/Core/Admission/LifecycleTest.cpp
@@ -28,6 +28,30 @@
   BOOST_CHECK_EQUAL(agent.Take<DrainCompleted>().size(), 1);
 }
 
+// Guards against requests that an agent goes on starting although its pool was
+// taken out of the configuration.
+BOOST_AUTO_TEST_CASE(AgentOfARemovedPoolStartsNothing) {
+  Harness agent(Pool(1, 1));
+  agent.Apply(agent.Offer(1));
+  agent.Apply(agent.Offer(2, "k", 1));
+  config::FleetConfig config = agent.state.config;
+  config.version = static_cast<common::ConfigVersion>(2);
+  config.pools.clear();
+  agent.Apply(ConfigReceived{.config = config});
+  agent.Apply(agent.Offer(3));
+  const auto rejects = agent.Take<RejectOffer>();
+  BOOST_REQUIRE_EQUAL(rejects.size(), 2);
+  for (const RejectOffer& it : rejects) {
+    BOOST_CHECK(it.refusal.verdict == common::Verdict::kNotRun);
+    BOOST_CHECK(it.refusal.reason == common::Reason::kNoConfiguration);
+  }
+  agent.End(1, UpstreamOutcome::kCompleted, 5);
+  agent.Demand(1, "a", 3);
+  agent.Advance(seconds(1));
+  BOOST_CHECK(agent.state.running.empty());
+  BOOST_CHECK(agent.state.grants.empty());
+}
+
 // Guards against a drain that never ends.
 BOOST_AUTO_TEST_CASE(DrainEndsAtItsDeadline) {
   Harness agent(Pool(1));
