Close workspaces without a credential; let the last one be withdrawn

A workspace whose credential was absent from the configuration, forgotten or with a misspelt key, accepted any request. It now needs "open": true for that; without either, routers refuse its requests and 'config check' reports it. An empty section of workspaces was invalid, so that the last workspace could not be withdrawn: routers kept the document in force, credentials included. It is valid and accepts nobody; an absent or malformed section stays invalid.

This changes documents that rely on open workspaces: they need the new key. Tests and tools that used such workspaces say so now; no check of theirs changed.

--- a/Source/Benchmarks/Capacity/Document.cpp
+++ b/Source/Benchmarks/Capacity/Document.cpp
@@ -27,8 +27,8 @@
     document["kinds"][fmt::format("unused-{:05}", i)] = kind;
   }
   for (int i = 0; i < size.workspaces; ++i) {
-    document["workspaces"][Workspace(i).value] = {{"weight", 1 + changes % 2},
-                                                  {"kinds", {Kind().value}}};
+    document["workspaces"][Workspace(i).value] = {
+        {"weight", 1 + changes % 2}, {"open", true}, {"kinds", {Kind().value}}};
   }
   return document.dump();
 }
--- a/Source/Benchmarks/Fixtures.h
+++ b/Source/Benchmarks/Fixtures.h
@@ -31,7 +31,7 @@
   config.pools[Pool()] = {.initial_slots = kSlots, .max_slots = kSlots};
   config.kinds[Kind()] = {.pool = Pool(), .max_queued = 100'000};
   for (int i = 0; i < kWorkspaces; ++i) {
-    config.workspaces[Workspace(i)] = {.kinds = {Kind()}};
+    config.workspaces[Workspace(i)] = {.open = true, .kinds = {Kind()}};
   }
   return config;
 }
--- a/Source/Core/Config/Document.cpp
+++ b/Source/Core/Config/Document.cpp
@@ -20,6 +20,8 @@
 
 using nlohmann::json;
 
+constexpr const char* kAtLeastOne = "an object with at least one entry";
+
 enum class UnknownKeys : std::uint8_t { kReport, kIgnore };
 
 // Parses and validates the sections of a merged document.
@@ -32,9 +34,11 @@
   FleetConfig Parse() {
     FleetConfig config;
     ReportUnknown(merged_.root, "", {"pools", "kinds", "workspaces"});
-    ParseSection("pools", PoolKeys(), &config.pools);
-    ParseSection("kinds", KindKeys(), &config.kinds);
-    ParseSection("workspaces", WorkspaceKeys(), &config.workspaces);
+    ParseSection("pools", PoolKeys(), kAtLeastOne, &config.pools);
+    ParseSection("kinds", KindKeys(), kAtLeastOne, &config.kinds);
+    // The last workspace can be withdrawn, an absent section is a mistake.
+    ParseSection("workspaces", WorkspaceKeys(), "an object",
+                 &config.workspaces);
     CheckPools(config);
     CheckKinds(config);
     CheckWorkspaces(config);
@@ -65,13 +69,11 @@
 
   template <typename Name, typename Entry>
   void ParseSection(const std::string& section, const Keys<Entry>& keys,
-                    std::map<Name, Entry>* entries) {
+                    const char* expected, std::map<Name, Entry>* entries) {
     const auto it = merged_.root.find(section);
-    if (it == merged_.root.end()) {
-      return Report(section, "an object with at least one entry", "nothing");
-    }
-    if (!it->is_object() || it->empty()) {
-      return Report(section, "an object with at least one entry", it->dump());
+    if (it == merged_.root.end()) return Report(section, expected, "nothing");
+    if (!it->is_object() || (it->empty() && expected == kAtLeastOne)) {
+      return Report(section, expected, it->dump());
     }
     for (const auto& [name, object] : it->items()) {
       const std::string path = absl::StrCat(section, ".", name);
@@ -142,6 +144,7 @@
     std::vector<std::string> kinds;
     for (const auto& [name, kind] : config.kinds) kinds.push_back(name.value);
     for (const auto& [name, workspace] : config.workspaces) {
+      CheckCredential(name, workspace);
       for (const common::KindName& kind : workspace.kinds) {
         if (config.kinds.count(kind) != 0) continue;
         ReportUnknownName(absl::StrCat("workspaces.", name.value, ".kinds"),
@@ -150,6 +153,23 @@
     }
   }
 
+  // Only where operators check a configuration. A process refuses the requests
+  // of such a workspace, and serves the others.
+  void CheckCredential(const common::WorkspaceName& name,
+                       const WorkspaceConfig& workspace) {
+    if (unknown_keys_ == UnknownKeys::kIgnore) return;
+    const std::string path =
+        absl::StrCat("workspaces.", name.value, ".credential_sha256");
+    const bool given =
+        merged_.root["workspaces"][name.value].contains("credential_sha256");
+    if (workspace.open == given) {
+      Report(path,
+             workspace.open ? "nothing, as the workspace is open"
+                            : "64 hexadecimal digits, or \"open\": true",
+             workspace.open ? "a credential" : "nothing");
+    }
+  }
+
   void ReportUnknownName(const std::string& path, const std::string& what,
                          const std::string& name,
                          const std::vector<std::string>& known) {
--- a/Source/Core/Config/Keys.cpp
+++ b/Source/Core/Config/Keys.cpp
@@ -74,6 +74,22 @@
           }};
 }
 
+template <typename Entry>
+Key<Entry> Boolean(KeyText<Entry> text, bool Entry::*member) {
+  return {
+      .name = std::move(text.name),
+      .expected = "true or false",
+      .description = std::move(text.description),
+      .read =
+          [member](const json& value, Entry& entry) {
+            if (!value.is_boolean()) return false;
+            entry.*member = value.get<bool>();
+            return true;
+          },
+      .format =
+          [member](const Entry& entry) { return json(entry.*member).dump(); }};
+}
+
 // A key with a string value that `parse` accepts.
 template <typename Entry>
 Key<Entry> String(KeyText<Entry> text, const std::string& expected,
@@ -190,18 +206,9 @@
         },
         [](const KindConfig& it) { return it.pool.value; });
     pool.required = true;
-    const Key<KindConfig> idempotent = {
-        .name = "idempotent",
-        .expected = "true or false",
-        .description = "whether a request may run more than once",
-        .read =
-            [](const json& value, KindConfig& kind) {
-              if (!value.is_boolean()) return false;
-              kind.idempotent = value.get<bool>();
-              return true;
-            },
-        .format =
-            [](const KindConfig& it) { return json(it.idempotent).dump(); }};
+    const Key<KindConfig> idempotent = Boolean(
+        Entry{"idempotent", "", "whether a request may run more than once"},
+        &KindConfig::idempotent);
     return Keys<KindConfig>{
         pool,
         String<KindConfig>(
@@ -249,9 +256,12 @@
            [](const WorkspaceConfig& it) { return json(it.weight).dump(); }},
       String<WorkspaceConfig>(
           Entry{"credential_sha256", "",
-                "SHA-256 of the credential; without it any is accepted"},
+                "SHA-256 of the credential; required unless the workspace is "
+                "open"},
           "64 hexadecimal digits", ParseCredential,
           [](const WorkspaceConfig& it) { return it.credential_sha256; }),
+      Boolean(Entry{"open", "", "whether requests need no credential"},
+              &WorkspaceConfig::open),
       {.name = "kinds",
        .expected = "a list of names in \"kinds\"",
        .description = "kinds that the workspace may use",
--- a/Source/Core/Config/Model.h
+++ b/Source/Core/Config/Model.h
@@ -47,8 +47,10 @@
 
 struct WorkspaceConfig {
   double weight = 1.0;
-  // Lower-case hexadecimal SHA-256 of the credential; empty accepts any.
+  // Lower-case hexadecimal SHA-256 of the credential. If it is empty, no
+  // request is accepted, unless the workspace is open.
   std::string credential_sha256;
+  bool open = false;  // requests need no credential
   std::set<common::KindName> kinds;
 };
 
--- a/Source/Core/Routing/Arrivals.cpp
+++ b/Source/Core/Routing/Arrivals.cpp
@@ -32,8 +32,11 @@
     *reason = Reason::kBadCredential;
     return std::nullopt;
   }
-  const std::string& expected = workspace_entry->second.credential_sha256;
-  if (!expected.empty() && expected != credential) {
+  const config::WorkspaceConfig& caller = workspace_entry->second;
+  const bool accepted = caller.credential_sha256.empty()
+                            ? caller.open
+                            : caller.credential_sha256 == credential;
+  if (!accepted) {
     *reason = Reason::kBadCredential;
     return std::nullopt;
   }
--- a/Source/TestTools/Fakes/Fleet.cpp
+++ b/Source/TestTools/Fakes/Fleet.cpp
@@ -29,7 +29,8 @@
                                      {"urgency", "background"}};
   document["kinds"]["order"] = {{"pool", kPool}, {"idempotent", false}};
   for (const auto& [name, weight] : options.weights) {
-    document["workspaces"][name] = {{"weight", weight}, {"kinds", kinds}};
+    document["workspaces"][name] = {
+        {"weight", weight}, {"open", true}, {"kinds", kinds}};
   }
   return document.dump();
 }
--- a/Source/TestTools/ProcessScenarios/FleetProbes.cpp
+++ b/Source/TestTools/ProcessScenarios/FleetProbes.cpp
@@ -24,6 +24,7 @@
   config["kinds"]["order"] = {{"pool", "work"}, {"idempotent", false}};
   for (const auto& [name, weight] : fleet.weights) {
     config["workspaces"][name] = {{"weight", weight},
+                                  {"open", true},
                                   {"kinds", {"chat", "urgent", "order"}}};
   }
   return config;
--- a/Source/UnitTests/Core/Config/DocumentTest.cpp
+++ b/Source/UnitTests/Core/Config/DocumentTest.cpp
@@ -129,6 +129,42 @@
   BOOST_TEST(Reports(*parsed, "30.json", "", "expected an object, found [1]"));
 }
 
+// Guards against a workspace whose credential was forgotten, misspelt or
+// withdrawn and that is open to everybody instead.
+BOOST_AUTO_TEST_CASE(WorkspaceIsOpenOnlyIfItSaysSo) {
+  const TempFolder folder;
+  folder.Write("10.json", R"({"pools": {"a": {}}, "kinds": {"k": {"pool": "a"}},
+      "workspaces": {"forgotten": {"kinds": ["k"]},
+                     "empty": {"kinds": ["k"], "credential_sha256": ""},
+                     "closed": {"kinds": ["k"], "open": false},
+                     "open": {"kinds": ["k"], "open": true}}})");
+  const auto parsed = ReadFolder(folder.Path());
+  BOOST_REQUIRE(parsed.ok());
+  for (const char* name : {"forgotten", "empty", "closed"}) {
+    BOOST_TEST(Reports(*parsed, "10.json",
+                       std::string("workspaces.") + name + ".credential_sha256",
+                       "64 hexadecimal digits"));
+  }
+  BOOST_TEST(parsed->problems.size() == 3U);
+  // A process refuses the requests of such a workspace, and not the document.
+  const auto config = ParseDocument(
+      R"({"pools": {"a": {}}, "kinds": {"k": {"pool": "a"}},
+          "workspaces": {"w": {"kinds": ["k"], "credential_sha265": "x"}}})");
+  BOOST_REQUIRE(config.ok());
+  BOOST_TEST(!config->workspaces.at(common::WorkspaceName("w")).open);
+}
+
+// Guards against a last workspace that can't be withdrawn, so that its
+// credential stays valid.
+BOOST_AUTO_TEST_CASE(LastWorkspaceCanBeWithdrawn) {
+  const std::string rest =
+      R"({"pools": {"a": {}}, "kinds": {"k": {"pool": "a"}})";
+  BOOST_TEST(ParseDocument(rest + R"(, "workspaces": {}})").ok());
+  BOOST_TEST(!ParseDocument(rest + "}").ok());
+  BOOST_TEST(!ParseDocument(rest + R"(, "workspaces": null})").ok());
+  BOOST_TEST(!ParseDocument(rest + R"(, "workspaces": []})").ok());
+}
+
 // Guards against an upgrade in which old processes reject every document that
 // uses a newer key.
 BOOST_AUTO_TEST_CASE(PublishedDocumentMayHaveNewerKeys) {
--- a/Source/UnitTests/Core/Routing/Fixture.h
+++ b/Source/UnitTests/Core/Routing/Fixture.h
@@ -33,7 +33,7 @@
                          .max_queued_bytes = 1000};
   config.kinds[kOrder] = {
       .pool = kPool, .idempotent = false, .default_deadline = seconds(10)};
-  config.workspaces[kWorkspace] = {.kinds = {kChat, kOrder}};
+  config.workspaces[kWorkspace] = {.open = true, .kinds = {kChat, kOrder}};
   return config;
 }
 
--- a/Source/UnitTests/Core/Runtime/ConfigHolderTest.cpp
+++ b/Source/UnitTests/Core/Runtime/ConfigHolderTest.cpp
@@ -18,7 +18,7 @@
       {.publisher = "ada",
        .id = std::to_string(weight),
        .document = R"({"pools": {"p": {}}, "kinds": {"k": {"pool": "p"}},
-                       "workspaces": {"w": {"kinds": ["k"], "weight": )" +
+                       "workspaces": {"w": {"open": true, "kinds": ["k"], "weight": )" +
                    std::to_string(weight) + "}}}"});
 }
 
--- a/Source/UnitTests/Core/Runtime/RouterDriverFixture.h
+++ b/Source/UnitTests/Core/Runtime/RouterDriverFixture.h
@@ -78,7 +78,7 @@
   return {
       .stored = {.revision = revision,
                  .value = R"({"pools": {"p": {}}, "kinds": {"k": {"pool": "p"}},
-                              "workspaces": {"w": {"kinds": ["k"]}}})"}};
+                              "workspaces": {"w": {"open": true, "kinds": ["k"]}}})"}};
 }
 
 }  // namespace shallotbeam::runtime
--- a/Source/UnitTests/Core/Runtime/StoreReadersTest.cpp
+++ b/Source/UnitTests/Core/Runtime/StoreReadersTest.cpp
@@ -41,7 +41,7 @@
 
 std::string Document() {
   return R"({"pools": {"p": {}}, "kinds": {"k": {"pool": "p"}},
-             "workspaces": {"w": {"kinds": ["k"]}}})";
+             "workspaces": {"w": {"open": true, "kinds": ["k"]}}})";
 }
 
 }  // namespace
--- a/Source/UnitTests/Embedding/Main.cpp
+++ b/Source/UnitTests/Embedding/Main.cpp
@@ -16,7 +16,7 @@
   config.pools[common::PoolName("pool")] = {};
   config.kinds[common::KindName("chat")] = {.pool = common::PoolName("pool")};
   config.workspaces[common::WorkspaceName("a")] = {
-      .kinds = {common::KindName("chat")}};
+      .open = true, .kinds = {common::KindName("chat")}};
 
   routing::RouterState router =
       routing::MakeRouter({.name = common::ProcessName("router"),
--- a/Source/UnitTests/Shallotbeam/ConfigCommandsTest.cpp
+++ b/Source/UnitTests/Shallotbeam/ConfigCommandsTest.cpp
@@ -55,7 +55,7 @@
   void WriteWeight(int weight) const {
     std::ofstream(folder / "all.jsonc")
         << R"({"pools": {"p": {}}, "kinds": {"k": {"pool": "p"}},
-              "workspaces": {"w": {"kinds": ["k"], "weight": )"
+              "workspaces": {"w": {"open": true, "kinds": ["k"], "weight": )"
         << weight << "}}}";
   }
   CommandResult Publish(const std::string& publisher,
