--- a/Source/UnitTests/Platform/StoreClientTest.cpp
+++ b/Source/UnitTests/Platform/StoreClientTest.cpp
@@ -82,6 +82,31 @@
   BOOST_CHECK(result.changes[1].removed);
 }
 
+// Guards against a malformed response that is taken for an empty list, so that
+// all upstreams and the configuration count as removed.
+BOOST_AUTO_TEST_CASE(ResponseWithoutItsListIsNoResponse) {
+  for (const char* it :
+       {R"({"asOf":2})", R"({"items":{},"events":{},"asOf":2})",
+        R"({"items":null,"events":null,"asOf":2})"}) {
+    body = it;
+    BOOST_CHECK(!List().status.ok());
+    BOOST_CHECK(!Poll().status.ok());
+  }
+  body = R"({"items":[],"events":[],"asOf":2})";
+  BOOST_CHECK(List().status.ok());
+  BOOST_CHECK(Poll().status.ok());
+}
+
+// Guards against a value that can't be decoded and is skipped, so that the
+// value before it stays in force.
+BOOST_AUTO_TEST_CASE(UnreadableValueReplacesTheOneBefore) {
+  body = R"({"items":[{"key":"a","value":"%","revision":3}],
+             "events":[{"key":"a","value":"%","revision":3}],"asOf":4})";
+  BOOST_REQUIRE_EQUAL(List().items.size(), 1);
+  BOOST_REQUIRE_EQUAL(Poll().changes.size(), 1);
+  BOOST_CHECK_EQUAL(Poll().changes.front().item.value, "");
+}
+
 // Guards against revisions of a restored store that are compared with those
 // from before.
 BOOST_AUTO_TEST_CASE(EraOfTheStoreIsDecoded) {
