Don't dereference the end of a map in a property test

RC_ASSERT evaluates both sides of an operator without parentheses, so that the test read beyond a map (AddressSanitizer: stack-buffer-overflow in KeyTableTest/NoKeyRuns- Twice). The condition is the same, in parentheses.

--- a/Source/UnitTests/Core/Admission/KeyTableTest.cpp
+++ b/Source/UnitTests/Core/Admission/KeyTableTest.cpp
@@ -38,7 +38,9 @@
         const auto& [key, revision] = offers.at(start->id);
         RC_ASSERT(++open_starts[key] == 1);
         const auto revocation = revoked.find(key);
-        RC_ASSERT(revocation == revoked.end() || revision > revocation->second);
+        // The macro evaluates both sides of an operator without parentheses.
+        RC_ASSERT(
+            (revocation == revoked.end() || revision > revocation->second));
       }
       const auto* reject = std::get_if<RejectOffer>(&it);
       if (reject != nullptr &&
