Keep the text of a Keep-Alive header while it is parsed

The idle timeout that an upstream states was parsed from a string that had been destroyed: http::param_list refers to its text. The gateway could take any number for the time for which it reuses a connection. Found by the build with sanitizers: Framing- Test/IdleTimeIsReadFromKeepAlive ended with stack-use-after-scope; it passed without sanitizers, by what the stack still held.

--- a/Source/Core/Forwarding/Framing.cpp
+++ b/Source/Core/Forwarding/Framing.cpp
@@ -61,8 +61,9 @@
 std::optional<int> KeepAliveSeconds(const Fields& fields) {
   const auto it = fields.find(http::field::keep_alive);
   if (it == fields.end()) return std::nullopt;
-  for (const auto& param :
-       http::param_list(std::string("; ") + std::string(it->value()))) {
+  // The list refers to the text.
+  const std::string text = "; " + std::string(it->value());
+  for (const auto& param : http::param_list(text)) {
     if (!beast::iequals(param.first, "timeout")) continue;
     int seconds = 0;
     const auto value = param.second;
