--- a/Source/Core/Admission/Internal.h
+++ b/Source/Core/Admission/Internal.h
@@ -117,9 +117,9 @@
 void OnTick(Context& context);
 void OnDrain(Context& context);
 void SendHeartbeats(Context& context);
-// Whether the agent is draining or the host list names it as leaving.
 // Whether the configuration has the pool of this agent.
 bool IsConfigured(const AgentState& state);
+// Whether the agent is draining or the host list names it as leaving.
 bool IsLeaving(const AgentState& state);
 // Whether a router was heard from recently. Otherwise this agent can't know
 // whether the host list names it as leaving.
--- a/Source/UnitTests/Core/Gateway/RemovedRequestsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/RemovedRequestsTest.cpp
@@ -126,8 +126,10 @@
 // request whose refusal is to be ended next.
 BOOST_AUTO_TEST_CASE(RefusalsOfBannedRequestsEndTogether) {
   victim.whole_refusals = false;
+  constexpr int kCallers = 4;
   std::vector<std::unique_ptr<Caller>> callers;
-  for (int i = 0; i < 4; ++i) callers.push_back(StartSending("deadly"));
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) callers.push_back(StartSending("deadly"));
   RunUntil([&] { return victim_upstream.Requests().size() == 5; });
   RunPending();
   Advance(200ms);
