Take a null weight of a split for malformed again

The decoder that tells absent from malformed read a null weight as zero, so that the pool got nothing; before, it made the configuration malformed.

--- a/Source/UnitTests/Platform/StoreItemsTest.cpp
+++ b/Source/UnitTests/Platform/StoreItemsTest.cpp
@@ -150,6 +150,7 @@
       {R"("timeoutMs": 12000)", R"("timeoutMs": true)"},
       {R"("anonymous": true)", R"("anonymous": null)"},
       {R"("split": [)", R"("split": "plain", "x": [)"},
+      {R"("weight": 1)", R"("weight": null)"},
       {R"("weight": 1)", R"("weight": -1)"}};
   for (const auto& [from, to] : cases) {
     BOOST_TEST_CONTEXT(to) { BOOST_CHECK(IsUnreadable(Replaced(from, to))); }
