Bound collected responses in one place

The limit of collected bodies stood beside the one that HttpClient::Fetch() had, with a counter of its own in each call, and the watch of the store had a third of the same size. One constant and one function serve all; the private overload of Start() and the counter are gone. The bounds are the same.

--- a/Source/Core/PlatformClients/EtcdStore.cpp
+++ b/Source/Core/PlatformClients/EtcdStore.cpp
@@ -103,9 +103,6 @@
       .dump();
 }
 
-// A longer line of a watch is no message.
-constexpr std::size_t kMaxWatchLineBytes = 8'388'608;
-
 // Parses the response stream of a watch: one JSON object per line, each with a
 // list of events.
 class WatchStreamParser {
@@ -121,7 +118,7 @@
       ParseLine(buffer_.substr(0, end));
       buffer_.erase(0, end + 1);
     }
-    return buffer_.size() <= kMaxWatchLineBytes;
+    return buffer_.size() <= transport::kMaxCollectedBytes;
   }
   void End() const { handlers_.on_end(); }
 
--- a/Source/Core/Runtime/CallRelay.h
+++ b/Source/Core/Runtime/CallRelay.h
@@ -1,7 +1,6 @@
 #ifndef SHALLOTBEAM_CORE_RUNTIME_CALLRELAY_H_
 #define SHALLOTBEAM_CORE_RUNTIME_CALLRELAY_H_
 
-#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -11,17 +10,6 @@
 
 namespace shallotbeam::runtime {
 
-// Limit for the body of a response that is collected before it is relayed. A
-// faulty upstream may send one without end.
-inline constexpr std::size_t kMaxCollectedBytes = 8'388'608;
-
-// Appends a piece to a collected body. Returns false if it does not fit.
-inline bool Collect(const std::string& piece, std::string* body) {
-  if (piece.size() > kMaxCollectedBytes - body->size()) return false;
-  body->append(piece);
-  return true;
-}
-
 // Returns handlers that forward the events of an HTTP call to OnHead(),
 // OnBody() and OnEnd() of `relay`. The handlers keep `relay` alive until the
 // call ends.
--- a/Source/Core/Runtime/DispatchCall.cpp
+++ b/Source/Core/Runtime/DispatchCall.cpp
@@ -56,7 +56,7 @@
       exchange_->Write(std::move(piece), std::move(resume), attempt_);
       return true;
     }
-    if (!Collect(piece, &response_.body)) return false;
+    if (!transport::Collect(piece, &response_.body)) return false;
     resume();
     return true;
   }
--- a/Source/Core/Runtime/UpstreamCall.cpp
+++ b/Source/Core/Runtime/UpstreamCall.cpp
@@ -61,7 +61,7 @@
 
   bool OnBody(std::string piece, std::function<void()> resume) {
     if (!streamed_) {
-      too_long_ = !Collect(piece, &response_.body);
+      too_long_ = !transport::Collect(piece, &response_.body);
       if (!too_long_) resume();
       return !too_long_;
     }
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -32,8 +32,6 @@
 // Bytes read and not parsed yet. The parser takes a chunk header and all
 // trailers as a whole and has no limit for either.
 constexpr std::size_t kMaxUnparsedBytes = 131'072;
-// Limit for the body of a response that is collected in memory.
-constexpr std::size_t kMaxFetchedBytes = 8'388'608;
 constexpr unsigned kHttpVersion = 11;
 constexpr int kFirstError = 400;
 const common::SteadyClock kSteadyClock;
@@ -116,12 +114,11 @@
  public:
   Call(net::io_context& context, std::shared_ptr<ConnectionPool> pool,
        common::Endpoint endpoint, HttpRequest request, common::Duration timeout,
-       std::size_t max_body_bytes, CallHandlers handlers)
+       CallHandlers handlers)
       : context_(context),
         pool_(std::move(pool)),
         endpoint_(std::move(endpoint)),
         timeout_(timeout),
-        body_bytes_left_(max_body_bytes),
         handlers_(std::move(handlers)) {
     message_.version(kHttpVersion);
     message_.method_string(request.method);
@@ -218,8 +215,6 @@
 
   void DeliverPiece() {
     const std::size_t n = piece_.size() - parser_->get().body().size;
-    if (n > body_bytes_left_) return End(CallEnd::kBroken);
-    body_bytes_left_ -= n;
     if (n == 0 || !handlers_.on_body) return ReadBody();
     const bool accepted = handlers_.on_body(
         std::string(piece_.data(), n), [self = shared_from_this()] {
@@ -261,7 +256,6 @@
   std::shared_ptr<ConnectionPool> pool_;
   common::Endpoint endpoint_;
   common::Duration timeout_;
-  std::size_t body_bytes_left_;
   CallHandlers handlers_;
   http::request<http::string_body> message_;
   std::unique_ptr<Connection> connection_;
@@ -286,18 +280,9 @@
                                             HttpRequest request,
                                             common::Duration timeout,
                                             CallHandlers handlers) {
-  return Start(endpoint, std::move(request), timeout,
-               std::numeric_limits<std::size_t>::max(), std::move(handlers));
-}
-
-std::shared_ptr<HttpCall> HttpClient::Start(const common::Endpoint& endpoint,
-                                            HttpRequest request,
-                                            common::Duration timeout,
-                                            std::size_t max_body_bytes,
-                                            CallHandlers handlers) {
   auto call =
       std::make_shared<Call>(context_, pool_, endpoint, std::move(request),
-                             timeout, max_body_bytes, std::move(handlers));
+                             timeout, std::move(handlers));
   call->Start();
   return call;
 }
@@ -309,7 +294,7 @@
   auto response = std::make_shared<HttpResponse>();
   response->status = 0;
   return Start(
-      endpoint, std::move(request), timeout, kMaxFetchedBytes,
+      endpoint, std::move(request), timeout,
       {.on_head =
            [response](const ResponseHead& head) {
              response->status = head.status;
@@ -321,9 +306,8 @@
        .on_body =
            [response](const std::string& piece,
                       const std::function<void()>& resume) {
-             response->body += piece;
              resume();
-             return true;
+             return Collect(piece, &response->body);
            },
        .on_end = [response, handler = std::move(handler)](
                      CallEnd end) { handler(end, std::move(*response)); }});
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -21,6 +21,17 @@
   kCancelled,  // by Cancel(); the server may have run the request
 };
 
+// Limit for what a process collects of a response in memory. A faulty server
+// may send a body without end.
+inline constexpr std::size_t kMaxCollectedBytes = 8'388'608;
+
+// Appends a piece to a collected body. Returns false if it does not fit.
+inline bool Collect(const std::string& piece, std::string* body) {
+  if (piece.size() > kMaxCollectedBytes - body->size()) return false;
+  body->append(piece);
+  return true;
+}
+
 // Status line and headers of a response. `chunked` means that the length of the
 // body is not known in advance.
 struct ResponseHead {
@@ -76,19 +87,14 @@
                                   CallHandlers handlers);
 
   // Like Start(), but collects the whole response. `status` is 0 if no response
-  // head was received. The call ends as broken if the body is longer than 8
-  // MiB.
+  // head was received. The call ends as broken if the body is longer than
+  // `kMaxCollectedBytes`.
   using FetchHandler = std::function<void(CallEnd, HttpResponse)>;
   std::shared_ptr<HttpCall> Fetch(const common::Endpoint& endpoint,
                                   HttpRequest request, common::Duration timeout,
                                   FetchHandler handler);
 
  private:
-  std::shared_ptr<HttpCall> Start(const common::Endpoint& endpoint,
-                                  HttpRequest request, common::Duration timeout,
-                                  std::size_t max_body_bytes,
-                                  CallHandlers handlers);
-
   class ConnectionPool;
   class Call;
 
