Drop state and a preset that nothing uses

The gateway kept the position of an unreadable configuration and only asked whether there is one. A section that may be empty is told by an enumeration, not by comparing the address of its description.

--- a/Source/Core/Config/Document.cpp
+++ b/Source/Core/Config/Document.cpp
@@ -20,9 +20,8 @@
 
 using nlohmann::json;
 
-constexpr const char* kAtLeastOne = "an object with at least one entry";
-
 enum class UnknownKeys : std::uint8_t { kReport, kIgnore };
+enum class Entries : std::uint8_t { kAny, kAtLeastOne };
 
 // Parses and validates the sections of a merged document.
 class FleetConfigParser {
@@ -34,10 +33,10 @@
   FleetConfig Parse() {
     FleetConfig config;
     ReportUnknown(merged_.root, "", {"pools", "kinds", "workspaces"});
-    ParseSection("pools", PoolKeys(), kAtLeastOne, &config.pools);
-    ParseSection("kinds", KindKeys(), kAtLeastOne, &config.kinds);
+    ParseSection("pools", PoolKeys(), Entries::kAtLeastOne, &config.pools);
+    ParseSection("kinds", KindKeys(), Entries::kAtLeastOne, &config.kinds);
     // The last workspace can be withdrawn, an absent section is a mistake.
-    ParseSection("workspaces", WorkspaceKeys(), "an object",
+    ParseSection("workspaces", WorkspaceKeys(), Entries::kAny,
                  &config.workspaces);
     CheckPools(config);
     CheckKinds(config);
@@ -69,10 +68,13 @@
 
   template <typename Name, typename Entry>
   void ParseSection(const std::string& section, const Keys<Entry>& keys,
-                    const char* expected, std::map<Name, Entry>* entries) {
+                    Entries number, std::map<Name, Entry>* entries) {
+    const bool may_be_empty = number == Entries::kAny;
+    const char* expected =
+        may_be_empty ? "an object" : "an object with at least one entry";
     const auto it = merged_.root.find(section);
     if (it == merged_.root.end()) return Report(section, expected, "nothing");
-    if (!it->is_object() || (it->empty() && expected == kAtLeastOne)) {
+    if (!it->is_object() || (it->empty() && !may_be_empty)) {
       return Report(section, expected, it->dump());
     }
     for (const auto& [name, object] : it->items()) {
@@ -162,11 +164,10 @@
         absl::StrCat("workspaces.", name.value, ".credential_sha256");
     const bool given =
         merged_.root["workspaces"][name.value].contains("credential_sha256");
-    if (workspace.open == given) {
-      Report(path,
-             workspace.open ? "nothing, as the workspace is open"
-                            : "64 hexadecimal digits, or \"open\": true",
-             workspace.open ? "a credential" : "nothing");
+    if (workspace.open && given) {
+      Report(path, "nothing, as the workspace is open", "a credential");
+    } else if (!workspace.open && !given) {
+      Report(path, "64 hexadecimal digits, or \"open\": true", "nothing");
     }
   }
 
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -317,7 +317,7 @@
 void Gateway::ApplyChange(const FleetChange& change,
                           common::StorePosition position) {
   if (change.configuration_unreadable) {
-    unreadable_configuration_ = position;
+    configuration_unreadable_ = true;
     Log(Subsystem::kConfig, LogLevel::kError,
         "event=config_unreadable in_force={} effect=credentials_refused",
         VersionOf(table_.get()));
@@ -328,7 +328,7 @@
                                                  : table_->Source().version;
     if (change.catalogue->version <= known_version) return;
     table_ = std::make_shared<catalogue::RouteTable>(*change.catalogue);
-    unreadable_configuration_.reset();
+    configuration_unreadable_ = false;
     limits_ = table_->Source().limits;
     scheduler_client_.SetServiceRate(table_->Source().tokens_per_second);
     for (const auto& [name, it] : upstreams_.upstreams) RegisterEngine(it);
@@ -421,7 +421,7 @@
   // The credential may have been revoked since the last update from the store,
   // or by a configuration that can't be read.
   if (stale) return refuse("store_unreachable");
-  if (unreadable_configuration_) return refuse("configuration_unreadable");
+  if (configuration_unreadable_) return refuse("configuration_unreadable");
   if (!checked) return refuse("no_workspaces");
   call.workspace = table_->FindWorkspace(call.metadata.credential);
   if (call.workspace != nullptr) return false;
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -253,9 +253,9 @@
   platform_clients::StoreSession store_;
   std::optional<ChangeRelay> change_relay_;  // if this gateway is a relay
   std::shared_ptr<const catalogue::RouteTable> table_;
-  // Where the store has a configuration that can't be read and follows the one
-  // in force. It may have withdrawn credentials.
-  std::optional<common::StorePosition> unreadable_configuration_;
+  // Whether a configuration that can't be read follows the one in force. It may
+  // have withdrawn credentials.
+  bool configuration_unreadable_ = false;
   balancing::UpstreamTable upstreams_;
   balancing::EjectionState ejections_;
   CrashDetector crash_detector_;
