Share the loops over sent messages and the wait for the store in gateway tests

Four tests decoded sent messages for themselves, and two waited for the store in the same loop; both are in GatewayFixture now. A message that can't be decoded fails the test everywhere.

--- a/Source/UnitTests/Core/Gateway/CrashingRequestsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/CrashingRequestsTest.cpp
@@ -42,12 +42,7 @@
 
   Fixture() {
     AddUpstreams(6);
-    // Removed entries are trusted for some time after the first contact to the
-    // store.
-    for (int i = 0; i < 120; ++i) {
-      fleet.clock.Advance(kTickInterval);
-      fleet.gateway->OnTick();
-    }
+    fleet.PassRecoveryOfStore();
   }
 
   void AddUpstreams(int count) {
@@ -94,13 +89,7 @@
   }
   // Messages that the gateway has sent about crashes.
   std::vector<protocol::CrashReport> CrashReports() const {
-    std::vector<protocol::CrashReport> reports;
-    for (const std::string& it : fleet.sent_messages) {
-      const auto envelope = wire::DecodeScheduling(it);
-      const auto* report = std::get_if<protocol::CrashReport>(&envelope->body);
-      if (report != nullptr) reports.push_back(*report);
-    }
-    return reports;
+    return fleet.SentBodies<protocol::CrashReport>();
   }
 
  private:
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -402,6 +402,14 @@
   RunPending();
 }
 
+void GatewayFixture::PassRecoveryOfStore() {
+  constexpr int kTicks = 120;
+  for (int i = 0; i < kTicks; ++i) {
+    clock.Advance(kTickInterval);
+    gateway->OnTick();
+  }
+}
+
 std::string GatewayFixture::Request(const std::string& path,
                                     const std::string& extra_headers) {
   return fmt::format(
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -8,12 +8,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "Catalogue/Model.h"
 #include "Common/Clock.h"
 #include "Gateway/Gateway.h"
 #include "PlatformClients/ItemStore.h"
+#include "Wire/Codec.h"
 
 namespace shallotbeam::gateway {
 
@@ -124,6 +126,22 @@
   // Runs the network handlers that are ready.
   void RunPending();
   void Advance(common::Duration step);
+  // Passes the time after the first contact to the store in which removed
+  // entries are trusted.
+  void PassRecoveryOfStore();
+
+  // Bodies of one type among the messages sent, in order.
+  template <typename Body>
+  std::vector<Body> SentBodies() const {
+    std::vector<Body> bodies;
+    for (const std::string& it : sent_messages) {
+      const auto envelope = wire::DecodeScheduling(it);
+      BOOST_REQUIRE(envelope.ok());
+      const auto* body = std::get_if<Body>(&envelope->body);
+      if (body != nullptr) bodies.push_back(*body);
+    }
+    return bodies;
+  }
 
   static std::string Request(const std::string& path,
                              const std::string& extra_headers = "");
--- a/Source/UnitTests/Core/Gateway/GatewayTest.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayTest.cpp
@@ -1,5 +1,4 @@
 #include <boost/test/unit_test.hpp>
-#include <optional>
 #include <string>
 #include <utility>
 
@@ -135,16 +134,12 @@
     Caller caller(fleet.context, fleet.gateway->CallersPort());
     caller.Send(GatewayFixture::Request(
         "/order/1", "Credential: secret\r\nParts: 1 2\r\n"));
-    std::optional<protocol::StartOffer> offer;
+    std::vector<protocol::StartOffer> offers;
     fleet.RunUntil([&] {
-      for (const std::string& it : fleet.sent_messages) {
-        const auto envelope = wire::DecodeScheduling(it);
-        const auto* found = std::get_if<protocol::StartOffer>(&envelope->body);
-        if (found != nullptr) offer = *found;
-      }
-      return offer.has_value();
+      offers = fleet.SentBodies<protocol::StartOffer>();
+      return !offers.empty();
     });
-    receive(protocol::StartReply{.number = offer->number,
+    receive(protocol::StartReply{.number = offers.back().number,
                                  .decision = common::OfferDecision::kDeclined,
                                  .wait = 2s});
     fleet.RunUntil([&] { return Contains(caller.Received(), "\r\n\r\n"); });
--- a/Source/UnitTests/Core/Gateway/RemovedRequestsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/RemovedRequestsTest.cpp
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include "Core/Gateway/GatewayFixture.h"
-#include "Wire/Codec.h"
 
 namespace shallotbeam::gateway {
 
@@ -37,10 +36,7 @@
 // one has crashed, too.
 struct Fixture : GatewayFixture {
   Fixture() : GatewayFixture(false, {kRelay}) {
-    for (int i = 0; i < 120; ++i) {
-      clock.Advance(kTickInterval);
-      gateway->OnTick();
-    }
+    PassRecoveryOfStore();
     AddUpstream("first", first.Endpoint());
     BOOST_CHECK(Contains(Send("deadly"), "HTTP/1.1 502"));
     Advance(kTickInterval);
@@ -64,17 +60,6 @@
     RunUntil([&] { return !caller->Received().empty(); });
     return caller->Received();
   }
-  std::size_t PermitRequests() const {
-    std::size_t count = 0;
-    for (const std::string& it : sent_messages) {
-      const auto message = wire::DecodeScheduling(it);
-      if (!message.ok()) continue;
-      if (std::holds_alternative<protocol::PermitRequest>(message->body)) {
-        ++count;
-      }
-    }
-    return count;
-  }
   bool HasMetric(const std::string& line) const {
     return Contains(gateway->MetricsText(), line);
   }
@@ -111,7 +96,7 @@
   sent_messages.clear();
   BOOST_CHECK(Contains(Send("deadly"), "HTTP/1.1 422"));
   for (int i = 0; i < 5; ++i) Advance(kTickInterval);
-  BOOST_CHECK_EQUAL(PermitRequests(), 0);
+  BOOST_CHECK(SentBodies<protocol::PermitRequest>().empty());
   BOOST_CHECK_EQUAL(limited.Requests().size(), 2);
 }
 
--- a/Source/UnitTests/Core/Gateway/StatedLimitsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/StatedLimitsTest.cpp
@@ -1,5 +1,4 @@
 #include <boost/test/unit_test.hpp>
-#include <optional>
 #include <string>
 
 #include "Core/Gateway/GatewayFixture.h"
@@ -31,15 +30,9 @@
     sent_messages.clear();
     caller.Send(Request("/order/"));
     RunPending();
-    std::optional<protocol::PermitRequest> request;
-    for (const std::string& it : sent_messages) {
-      const auto message = wire::DecodeScheduling(it);
-      if (!message.ok()) continue;
-      const auto* permit = std::get_if<protocol::PermitRequest>(&message->body);
-      if (permit != nullptr) request = *permit;
-    }
-    BOOST_REQUIRE(request);
-    return *request;
+    const auto requests = SentBodies<protocol::PermitRequest>();
+    BOOST_REQUIRE(!requests.empty());
+    return requests.back();
   }
 
   void Reply(const protocol::PermitRequest& request, bool granted,
--- a/Source/UnitTests/Core/Runtime/EndlessUpstreamTest.cpp
+++ b/Source/UnitTests/Core/Runtime/EndlessUpstreamTest.cpp
@@ -18,6 +18,9 @@
 using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
 using boost::asio::ip::tcp;
 
+// Beside the collected body, the receive buffers of both processes.
+constexpr std::size_t kGrowthBound = 24 * forwarding::kMebibyte;
+
 // A process with the request of one caller, and a peer that it calls for it.
 struct Fixture {
   boost::asio::io_context context;
@@ -42,9 +45,9 @@
     while (exchange == nullptr) context.run_one_for(1s);
   }
 
-  // Accepts the call and sends a body of stated length without end until
-  // `ended`. Returns the highest growth of resident memory.
-  std::size_t SendEndlessBody(const std::function<bool()>& ended) {
+  // Accepts the call, sends a body of stated length without end, and checks
+  // that the call ends before the body takes much memory.
+  void CheckEndlessBodyEnds(const std::function<bool()>& ended) {
     bool accepted = false;
     acceptor.async_accept(peer,
                           [&](boost::system::error_code) { accepted = true; });
@@ -56,14 +59,11 @@
     const auto result =
         forwarding::SendEndlessly(context, peer, forwarding::kFiller, ended);
     for (int i = 0; i < 50 && !ended(); ++i) context.run_one_for(10ms);
-    BOOST_CHECK(ended());
-    return result.growth;
+    BOOST_REQUIRE(ended());
+    BOOST_CHECK_LT(result.growth, kGrowthBound);
   }
 };
 
-// Beside the collected body, the receive buffers of both processes.
-constexpr std::size_t kGrowthBound = 24 * forwarding::kMebibyte;
-
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(EndlessUpstreamTest, Fixture)
@@ -78,9 +78,7 @@
         const auto* it = std::get_if<admission::UpstreamEnded>(&event);
         if (it != nullptr) ended = *it;
       }});
-  const std::size_t growth = SendEndlessBody([&] { return ended.has_value(); });
-  BOOST_CHECK_LT(growth, kGrowthBound);
-  BOOST_REQUIRE(ended);
+  CheckEndlessBodyEnds([&] { return ended.has_value(); });
   BOOST_CHECK(ended->outcome == admission::UpstreamOutcome::kError);
 }
 
@@ -93,9 +91,7 @@
                   const auto* it = std::get_if<routing::DispatchEnded>(&event);
                   if (it != nullptr) ended = *it;
                 });
-  const std::size_t growth = SendEndlessBody([&] { return ended.has_value(); });
-  BOOST_CHECK_LT(growth, kGrowthBound);
-  BOOST_REQUIRE(ended);
+  CheckEndlessBodyEnds([&] { return ended.has_value(); });
   BOOST_CHECK(ended->outcome == routing::DispatchOutcome::kLost);
 }
 
