--- a/Source/UnitTests/Core/Forwarding/UpstreamConnectionTest.cpp
+++ b/Source/UnitTests/Core/Forwarding/UpstreamConnectionTest.cpp
@@ -1,122 +1,15 @@
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
-#include <functional>
-#include <optional>
 #include <string>
 #include <vector>
 
-#include "Common/Clock.h"
 #include "Core/Forwarding/EndlessSender.h"
-#include "Forwarding/UpstreamConnection.h"
+#include "Core/Forwarding/UpstreamFixture.h"
 
 namespace shallotbeam::forwarding {
 
 namespace {
 
-using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
-namespace net = boost::asio;
-using boost::system::error_code;
-using net::ip::tcp;
-
-RequestMetadata DecodeRequest(const Fields& /*fields*/) { return {}; }
-ResponseMetadata DecodeResponse(int /*status*/, const Fields& fields) {
-  return {.request_id = std::string(fields["Id"])};
-}
-bool IsForwarded(std::string_view /*name*/) { return true; }
-void AppendNothing(const UpstreamHeaders& /*headers*/, std::string* /*head*/) {}
-
-constexpr HeaderCodec kCodec{.decode_request = DecodeRequest,
-                             .decode_response = DecodeResponse,
-                             .is_forwarded = IsForwarded,
-                             .append_upstream_headers = AppendNothing,
-                             .request_id_header = "Id"};
-
-struct RecordingListener : UpstreamListener {
-  void OnUpstreamHead(UpstreamResponse response) override {
-    status = response.status;
-  }
-  void OnUpstreamBody(std::string_view bytes) override {
-    body.append(bytes);
-    if (on_body) on_body();
-  }
-  void OnUpstreamEnd(ExchangeEnd exchange_end) override { end = exchange_end; }
-
-  int status = 0;
-  std::string body;
-  std::optional<ExchangeEnd> end;
-  std::function<void()> on_body;
-};
-
-std::string Response(const std::string& id, const std::string& body) {
-  const std::string id_line = id.empty() ? "" : "Id: " + id + "\r\n";
-  return "HTTP/1.1 200 OK\r\n" + id_line +
-         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-// A connection to an upstream whose bytes the test writes.
-struct Fixture {
-  net::io_context context;
-  common::ManualClock clock;
-  tcp::acceptor acceptor{context,
-                         tcp::endpoint(net::ip::address_v4::loopback(), 0)};
-  tcp::socket peer{context};
-  RecordingListener listener;
-  std::shared_ptr<UpstreamConnection> connection =
-      std::make_shared<UpstreamConnection>(context.get_executor(), clock,
-                                           kCodec);
-
-  Fixture() { clock.Advance(1h); }
-
-  void Send(const std::string& id, bool head_only = false) {
-    listener = {};
-    connection->Exchange(
-        {.address = "127.0.0.1", .port = acceptor.local_endpoint().port()},
-        {.bytes = "GET / HTTP/1.1\r\nId: " + id + "\r\n\r\n",
-         .request_id = id,
-         .head_only = head_only},
-        &listener);
-    if (!peer.is_open()) {
-      bool accepted = false;
-      acceptor.async_accept(peer, [&](error_code) { accepted = true; });
-      while (!accepted) context.run_one();
-      peer.non_blocking(true);
-    }
-    Run();
-  }
-
-  void Run() {
-    for (int i = 0; i < 20; ++i) context.run_one_for(2ms);
-    context.restart();
-  }
-
-  void Reply(const std::string& bytes) {
-    net::write(peer, net::buffer(bytes));
-    Run();
-  }
-
-  // Sends `bytes` until the exchange has ended. Returns the highest growth of
-  // resident memory.
-  std::size_t ReplyEndlessly(const std::string& bytes) {
-    const EndlessResult result = SendEndlessly(
-        context, peer, bytes, [this] { return listener.end.has_value(); });
-    Run();
-    return result.growth;
-  }
-
-  // Serves one request, so that the connection is in use again afterwards.
-  void ServeFirst(const std::string& id, bool head_only = false) {
-    Send(id, head_only);
-    Reply(head_only
-              ? "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 5\r\n\r\n"
-              : Response(id, "first"));
-    BOOST_REQUIRE(listener.end == ExchangeEnd::kComplete);
-    BOOST_REQUIRE(connection->IsReusable(clock.Now()));
-  }
-};
-
 const std::vector<EndlessCase>& EndlessCases() {
   static const std::vector<EndlessCase> cases = {
       {"no HTTP", "", kFiller},
@@ -152,7 +45,7 @@
 // is due: the process would hold all of them until it runs out of memory.
 BOOST_DATA_TEST_CASE(EndlessBytesEndTheExchange,
                      boost::unit_test::data::make(EndlessCases()), endless) {
-  Fixture it;
+  UpstreamFixture it;
   it.Send("a");
   it.Reply(endless.start);
   const std::size_t growth = it.ReplyEndlessly(endless.repeated);
@@ -163,7 +56,7 @@
 }
 
 // Guards against an interim response that is relayed as the final one.
-BOOST_FIXTURE_TEST_CASE(InterimResponsesAreSkipped, Fixture) {
+BOOST_FIXTURE_TEST_CASE(InterimResponsesAreSkipped, UpstreamFixture) {
   Send("a");
   Reply(
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n");
@@ -176,7 +69,7 @@
 
 // Guards against a request whose response is never read: reading was paused
 // when the response before it ended.
-BOOST_FIXTURE_TEST_CASE(PauseEndsWithItsResponse, Fixture) {
+BOOST_FIXTURE_TEST_CASE(PauseEndsWithItsResponse, UpstreamFixture) {
   Send("a");
   listener.on_body = [this] { connection->Pause(); };
   Reply(Response("a", "first"));
@@ -191,7 +84,7 @@
 // response, late, on a connection in use again: the next caller must not get
 // the response to another request.
 
-BOOST_FIXTURE_TEST_CASE(LateCopyBeforeTheResponseIsDropped, Fixture) {
+BOOST_FIXTURE_TEST_CASE(LateCopyBeforeTheResponseIsDropped, UpstreamFixture) {
   ServeFirst("a");
   Send("b");
   Reply(Response("a", "first") + Response("b", "second"));
@@ -199,7 +92,7 @@
   BOOST_CHECK_EQUAL(listener.body, "second");
 }
 
-BOOST_FIXTURE_TEST_CASE(LateCopyInPartsIsDropped, Fixture) {
+BOOST_FIXTURE_TEST_CASE(LateCopyInPartsIsDropped, UpstreamFixture) {
   ServeFirst("a");
   const std::string copy = Response("a", "first");
   Send("b");
@@ -211,7 +104,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(LateCopyBetweenBytesOfTheResponseIsNotRelayed,
-                        Fixture) {
+                        UpstreamFixture) {
   ServeFirst("a");
   Send("b");
   const std::string response = Response("b", "second");
@@ -224,7 +117,8 @@
   BOOST_CHECK(!connection->IsOpen());
 }
 
-BOOST_FIXTURE_TEST_CASE(LateCopyAfterTheResponseClosesTheConnection, Fixture) {
+BOOST_FIXTURE_TEST_CASE(LateCopyAfterTheResponseClosesTheConnection,
+                        UpstreamFixture) {
   ServeFirst("a");
   Send("b");
   Reply(Response("b", "second") + Response("a", "first"));
@@ -233,14 +127,14 @@
   BOOST_CHECK(!connection->IsReusable(clock.Now()));
 }
 
-BOOST_FIXTURE_TEST_CASE(LateCopyOnAnIdleConnectionClosesIt, Fixture) {
+BOOST_FIXTURE_TEST_CASE(LateCopyOnAnIdleConnectionClosesIt, UpstreamFixture) {
   ServeFirst("a");
   Reply(Response("a", "first"));
   BOOST_CHECK(!connection->IsOpen());
 }
 
 // A copy without an id can't be told from the response to the current request.
-BOOST_FIXTURE_TEST_CASE(LateCopyWithoutIdIsNotRelayed, Fixture) {
+BOOST_FIXTURE_TEST_CASE(LateCopyWithoutIdIsNotRelayed, UpstreamFixture) {
   ServeFirst("a");
   Send("b");
   Reply(Response("", "first") + Response("b", "second"));
@@ -250,14 +144,14 @@
 }
 
 // The first response on a connection can only answer the first request.
-BOOST_FIXTURE_TEST_CASE(FirstResponseMayLackTheId, Fixture) {
+BOOST_FIXTURE_TEST_CASE(FirstResponseMayLackTheId, UpstreamFixture) {
   Send("a");
   Reply(Response("", "first"));
   BOOST_CHECK(listener.end == ExchangeEnd::kComplete);
   BOOST_CHECK_EQUAL(listener.body, "first");
 }
 
-BOOST_FIXTURE_TEST_CASE(LateCopyOfAStreamIsDropped, Fixture) {
+BOOST_FIXTURE_TEST_CASE(LateCopyOfAStreamIsDropped, UpstreamFixture) {
   ServeFirst("a");
   Send("b");
   Reply(
@@ -270,7 +164,8 @@
 
 // The length of a response to HEAD is not followed by a body, so that the end
 // of a copy is not known.
-BOOST_FIXTURE_TEST_CASE(LateCopyOfAResponseToHeadIsNotRelayed, Fixture) {
+BOOST_FIXTURE_TEST_CASE(LateCopyOfAResponseToHeadIsNotRelayed,
+                        UpstreamFixture) {
   ServeFirst("a", /*head_only=*/true);
   Send("b");
   const std::string copy =
@@ -280,7 +175,8 @@
   BOOST_CHECK_EQUAL(listener.body, "");
 }
 
-BOOST_FIXTURE_TEST_CASE(LateCopyBeforeAResponseToHeadIsNotRelayed, Fixture) {
+BOOST_FIXTURE_TEST_CASE(LateCopyBeforeAResponseToHeadIsNotRelayed,
+                        UpstreamFixture) {
   ServeFirst("a");
   Send("b", /*head_only=*/true);
   Reply(Response("a", "first"));
@@ -289,7 +185,7 @@
 
 // Guards against a copy whose body ends with the connection.
 BOOST_FIXTURE_TEST_CASE(LateCopyThatEndsWithTheConnectionIsNotRelayed,
-                        Fixture) {
+                        UpstreamFixture) {
   ServeFirst("a");
   Send("b");
   Reply("HTTP/1.1 200 OK\r\nId: a\r\n\r\nfirst");
