Pass on no response whose status HTTP does not define

Cause: Boost.Beast takes any three digits for a status. UpstreamConnection looked only for 1xx and 101, Call only for 2xx and 5xx or above, so that other numbers went through as an answer.

Evidence: a stand-in that sends such a head.

Change: one function says what a response is by its head: final, interim or invalid. It holds the checks that stood in two places (framing, 101) and the range 100 to 599. An invalid response ends the exchange as broken, like other bytes that are no HTTP: an order gets 502, a lookup another upstream.

Ruled out: treating them as 5xx, as RFC 9110 suggests for clients: the digest and status would still reach the caller.

--- a/Source/Core/Forwarding/Framing.cpp
+++ b/Source/Core/Forwarding/Framing.cpp
@@ -25,6 +25,11 @@
 // A chunk of one byte has five bytes of framing.
 constexpr std::size_t kMaxFramingPerBodyByte = 8;
 
+constexpr int kFirstInterimStatus = 100;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
+
 beast::string_view ToBeast(std::string_view text) {
   return {text.data(), text.size()};
 }
@@ -51,6 +56,16 @@
   return !beast::iequals(fields[http::field::transfer_encoding], "chunked");
 }
 
+ResponseKind KindOfResponse(int status, const Fields& fields) {
+  const bool defined = status >= kFirstInterimStatus && status <= kLastStatus;
+  if (!defined || status == kSwitchingProtocols ||
+      IsAmbiguouslyFramed(fields)) {
+    return ResponseKind::kInvalid;
+  }
+  return status < kFirstFinalStatus ? ResponseKind::kInterim
+                                    : ResponseKind::kFinal;
+}
+
 bool HasExcessiveFraming(const MessageBytes& bytes, std::size_t head_limit) {
   const std::size_t framing = bytes.consumed - bytes.body;
   // The head and the trailers.
--- a/Source/Core/Forwarding/Framing.h
+++ b/Source/Core/Forwarding/Framing.h
@@ -2,6 +2,7 @@
 #define SHALLOTBEAM_CORE_FORWARDING_FRAMING_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,10 +16,21 @@
 // Includes the headers that are listed in the Connection header of `fields`.
 bool IsHopByHop(const Fields& fields, std::string_view name);
 
-// Whether intermediaries could disagree about where a request ends: several or
+// Whether intermediaries could disagree about where a message ends: several or
 // contradicting lengths, or a coding other than exactly "chunked".
 bool IsAmbiguouslyFramed(const Fields& fields);
 
+// What a response with a certain head is, by RFC 9110.
+enum class ResponseKind : std::uint8_t {
+  kFinal,    // the response to the request
+  kInterim,  // another one follows, to the same request
+  kInvalid,  // not a response; nothing of it may be passed on
+};
+
+// The parser takes any three digits for a status. Also invalid are ambiguous
+// framing and a change of protocol, for which no request asks.
+ResponseKind KindOfResponse(int status, const Fields& fields);
+
 // Idle timeout of the sender in seconds, from the Keep-Alive header.
 std::optional<int> KeepAliveSeconds(const Fields& fields);
 
--- a/Source/Core/Forwarding/UpstreamConnection.cpp
+++ b/Source/Core/Forwarding/UpstreamConnection.cpp
@@ -30,9 +30,6 @@
 // Limit for interim responses and for responses to earlier requests that arrive
 // while a request awaits its response.
 constexpr std::size_t kMaxSkippedBytes = 1'048'576;
-constexpr int kSwitchingProtocols = 101;
-
-bool IsInterim(int status) { return status >= 100 && status < 200; }
 
 void SetOptions(net::ip::tcp::socket& socket) {
   error_code ec;
@@ -179,10 +176,17 @@
          HasExcessiveFraming(message_bytes_, kMaxHeaderBytes);
 }
 
-std::optional<bool> UpstreamConnection::IsSkipped(int status,
-                                                  const std::string& id) const {
-  if (status == kSwitchingProtocols) return std::nullopt;
-  if (IsInterim(status)) return true;
+std::optional<bool> UpstreamConnection::IsSkipped(
+    const UpstreamResponse& response) const {
+  switch (KindOfResponse(response.status, response.fields)) {
+    case ResponseKind::kInvalid:
+      return std::nullopt;
+    case ResponseKind::kInterim:
+      return true;
+    case ResponseKind::kFinal:
+      break;
+  }
+  const std::string& id = response.metadata.request_id;
   // Without an id it may be a late copy of an earlier response.
   if (id.empty()) return reused_ ? std::nullopt : std::optional(false);
   if (id == request_.request_id) return false;
@@ -195,14 +199,12 @@
 // Returns false if the exchange has ended.
 bool UpstreamConnection::OnHead() {
   auto& message = parser_->get();
-  UpstreamResponse response{.status = static_cast<int>(message.result_int())};
-  if (IsAmbiguouslyFramed(message.base())) {
-    End(ExchangeEnd::kBroken);
-    return false;
-  }
+  UpstreamResponse response{.status = static_cast<int>(message.result_int()),
+                            .fields = message.base(),
+                            .ends_with_connection = parser_->need_eof()};
   response.metadata =
-      header_codec_.decode_response(response.status, message.base());
-  const auto skipped = IsSkipped(response.status, response.metadata.request_id);
+      header_codec_.decode_response(response.status, response.fields);
+  const auto skipped = IsSkipped(response);
   if (!skipped) {
     End(ExchangeEnd::kBroken);
     return false;
@@ -217,8 +219,6 @@
     idle_limit_ = std::chrono::duration_cast<common::Duration>(
         std::chrono::duration<double>(*seconds * kIdleTimeoutFraction));
   }
-  response.fields = message.base();
-  response.ends_with_connection = parser_->need_eof();
   listener_->OnUpstreamHead(std::move(response));
   return !closed_ && listener_ != nullptr;
 }
--- a/Source/Core/Forwarding/UpstreamConnection.h
+++ b/Source/Core/Forwarding/UpstreamConnection.h
@@ -85,8 +85,8 @@
   void Parse();
   bool OnHead();
   // Whether the response that begins is not the one to the current request.
-  // Returns nothing if that can't be known.
-  std::optional<bool> IsSkipped(int status, const std::string& id) const;
+  // Returns nothing if that can't be known, or if it is not a response.
+  std::optional<bool> IsSkipped(const UpstreamResponse& response) const;
   void DeliverBody();
   bool ExceedsLimits() const;
   void OnMessageDone();
--- /dev/null
+++ b/Source/UnitTests/Core/Gateway/BrokenResponsesTest.cpp
@@ -0,0 +1,71 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "Core/Gateway/GatewayFixture.h"
+
+namespace shallotbeam::gateway {
+
+namespace {
+
+// Heads of responses that are none in HTTP, up to the digest.
+const std::string kBrokenHeads[] = {
+    "HTTP/1.1 000 x\r\n",
+    "HTTP/1.1 099 x\r\n",
+    "HTTP/1.1 600 x\r\n",
+    "HTTP/1.1 999 x\r\n",
+};
+
+// Two upstreams, of which the one that is asked first sends a broken response.
+struct Fixture {
+  explicit Fixture(const std::string& head)
+      : broken(head + "Id: r1\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole") {
+    fleet.AddUpstream("u1", first.Endpoint());
+    fleet.AddUpstream("u2", second.Endpoint());
+  }
+
+  FakeUpstream::Reaction React(const std::string& request) {
+    return ++requests == 1 ? FakeUpstream::Reaction{broken, /*close=*/true}
+                           : RespondDone(request);
+  }
+
+  const std::string broken;
+  int requests = 0;
+  GatewayFixture fleet;
+  FakeUpstream first{fleet.context,
+                     [this](const std::string& it) { return React(it); }};
+  FakeUpstream second{fleet.context,
+                      [this](const std::string& it) { return React(it); }};
+};
+
+}  // namespace
+
+// What callers get if an upstream sends bytes that are no response.
+BOOST_AUTO_TEST_SUITE(BrokenResponsesTest)
+
+// Guards against such bytes that reach the caller as a response, and against an
+// order that runs twice, because it may have run at the upstream that sent
+// them.
+BOOST_DATA_TEST_CASE(OrderIsAnsweredByTheGateway,
+                     boost::unit_test::data::make(kBrokenHeads), head) {
+  Fixture it(head);
+  const std::string response = it.fleet.Exchange("/order/1");
+  BOOST_CHECK_EQUAL(response.substr(0, 13), "HTTP/1.1 502 ");
+  BOOST_CHECK(!Contains(response, "Seal"));
+  BOOST_CHECK(!Contains(response, "whole"));
+  BOOST_CHECK_EQUAL(it.requests, 1);
+}
+
+// Guards against a lookup that fails though another upstream can serve it.
+BOOST_DATA_TEST_CASE(LookupIsServedByTheOtherUpstream,
+                     boost::unit_test::data::make(kBrokenHeads), head) {
+  Fixture it(head);
+  const std::string response = it.fleet.Exchange("/look/1");
+  BOOST_CHECK_EQUAL(response.substr(0, 13), "HTTP/1.1 200 ");
+  BOOST_CHECK(Contains(response, "done"));
+  BOOST_CHECK_EQUAL(it.requests, 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shallotbeam::gateway
