Pass on no response at router and agent that is none in HTTP

An upstream's status 000 went through agent and router to the caller, as "completed".

Cause: HttpClient took each head that the parser takes, without the checks that the gateway has: status, change of protocol, ambiguous framing. Two lengths, or a length beside a coding that is not chunked, counted as a sound response.

Evidence: before, all 7 heads of the transport's test ended as complete; agents completed 000, 099 and 101, routers all 5 statuses.

Change: HttpClient uses the function of the gateway. Such a call ends as kInvalid. It is an end of its own, because the agent takes a broken connection for a crash of its upstream, and the requests in flight there for suspects; an upstream that answers has not crashed. The agent counts it as an error (the slot backs off, a keyed request may have run), the router as lost. Store clients and engine reports ask for a complete response and need no change.

--- a/Source/Core/Admission/Events.h
+++ b/Source/Core/Admission/Events.h
@@ -58,7 +58,7 @@
 enum class UpstreamOutcome : std::uint8_t {
   kCompleted,  // the whole response arrived
   kRefused,    // the upstream refused to run the request (429)
-  kError,      // the upstream answered with a server error (5xx)
+  kError,      // the upstream answered with a server error (5xx) or not in HTTP
   kNotSent,    // the connection failed before the first byte
   kBroken,     // the connection broke before the end of the response
   kTimedOut,   // no complete response within the time left
--- a/Source/Core/Runtime/DispatchCall.cpp
+++ b/Source/Core/Runtime/DispatchCall.cpp
@@ -69,6 +69,7 @@
         return Post(DispatchOutcome::kNotSent);
       case CallEnd::kBroken:
       case CallEnd::kTimedOut:
+      case CallEnd::kInvalid:
         return Post(DispatchOutcome::kLost);
       case CallEnd::kComplete:
         break;
--- a/Source/Core/Runtime/UpstreamCall.cpp
+++ b/Source/Core/Runtime/UpstreamCall.cpp
@@ -28,6 +28,9 @@
     case CallEnd::kBroken:
     case CallEnd::kCancelled:
       return UpstreamOutcome::kBroken;
+    // An upstream that answers has not crashed.
+    case CallEnd::kInvalid:
+      return UpstreamOutcome::kError;
     case CallEnd::kComplete:
       break;
   }
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -17,6 +17,8 @@
 #include <optional>
 #include <utility>
 
+#include "Forwarding/Framing.h"
+
 namespace shallotbeam::transport {
 
 namespace {
@@ -187,16 +189,23 @@
         [self = shared_from_this()](error_code ec, std::size_t) {
           if (self->ended_) return;
           if (ec) return self->Fail(ec);
-          const auto& message = self->parser_->get();
-          const ResponseHead head{
-              .status = static_cast<int>(message.result_int()),
-              .headers = message.base(),
-              .chunked = message.chunked()};
-          if (self->handlers_.on_head) self->handlers_.on_head(head);
-          self->ReadBody();
+          self->OnHead();
         });
   }
 
+  void OnHead() {
+    const auto& message = parser_->get();
+    const ResponseHead head{.status = static_cast<int>(message.result_int()),
+                            .headers = message.base(),
+                            .chunked = message.chunked()};
+    const auto kind = forwarding::KindOfResponse(head.status, head.headers);
+    if (kind == forwarding::ResponseKind::kInvalid) {
+      return End(CallEnd::kInvalid);
+    }
+    if (handlers_.on_head) handlers_.on_head(head);
+    ReadBody();
+  }
+
   void ReadBody() {
     if (ended_) return;
     if (parser_->is_done()) return Complete();
--- a/Source/Core/Transport/HttpClient.h
+++ b/Source/Core/Transport/HttpClient.h
@@ -19,6 +19,9 @@
   kBroken,     // the connection was lost; the server may have run the request
   kTimedOut,   // the call timed out; the server may have run the request
   kCancelled,  // by Cancel(); the server may have run the request
+  // The server answered with a head that is not a response; it may have run the
+  // request.
+  kInvalid,
 };
 
 // Limit for what a process collects of a response in memory. A faulty server
@@ -42,7 +45,7 @@
 
 // Called on threads of the context, never concurrently for one call.
 struct CallHandlers {
-  std::function<void(const ResponseHead&)> on_head;
+  std::function<void(const ResponseHead&)> on_head;  // of the final response
   // Receives a piece of the body. The next piece is read only after `resume`
   // has been called, on any thread. Returns false to end the call as broken.
   std::function<bool(std::string piece, std::function<void()> resume)> on_body;
--- /dev/null
+++ b/Source/UnitTests/Core/Transport/BrokenResponsesTest.cpp
@@ -0,0 +1,69 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "HttpFixture.h"
+#include "Transport/HttpClient.h"
+
+namespace shallotbeam::transport {
+
+namespace {
+
+struct Result {
+  CallEnd end = CallEnd::kComplete;
+  HttpResponse response;
+};
+
+// Fetches from a server that sends `bytes` and ends the connection.
+Result FetchBytes(const std::string& bytes) {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(
+      context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  std::thread server([&] {
+    auto socket = acceptor.accept();
+    ReadUntil(socket, "\r\n\r\n");
+    WriteText(socket, bytes);
+  });
+  HttpClient client(context);
+  std::optional<Result> result;
+  client.Fetch(
+      {.address = "127.0.0.1", .port = acceptor.local_endpoint().port()},
+      {.method = "GET", .target = "/"}, std::chrono::seconds(5),
+      [&](CallEnd end, const HttpResponse& it) {
+        result = {.end = end, .response = it};
+      });
+  context.run();
+  server.join();
+  BOOST_REQUIRE(result.has_value());
+  return *result;
+}
+
+const std::string kInvalidHeads[] = {
+    "HTTP/1.1 000 x\r\n",
+    "HTTP/1.1 099 x\r\n",
+    "HTTP/1.1 101 x\r\n",
+    "HTTP/1.1 600 x\r\n",
+    "HTTP/1.1 999 x\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(BrokenResponsesTest)
+
+// Guards against a response that is none in HTTP: no defined status, or an
+// ambiguous length.
+BOOST_DATA_TEST_CASE(InvalidHeadIsNoResponse,
+                     boost::unit_test::data::make(kInvalidHeads), head) {
+  const Result result = FetchBytes(head + "Content-Length: 5\r\n\r\nwhole");
+  BOOST_CHECK(result.end == CallEnd::kInvalid);
+  BOOST_CHECK_EQUAL(result.response.status, 0);
+  BOOST_CHECK_EQUAL(result.response.body, "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shallotbeam::transport
