Skip interim responses at router and agent

Callers saw: an upstream's "100 Continue" or "103 Early Hints" was their answer, with an empty body; the final response was dropped with its connection. A router took it for a refusal by its agent.

Cause: HttpClient handed on the first head, whatever its status.

Evidence: the four new tests failed before (an agent's caller got status 100; the call of a router ended as refused; 1,000 interim responses counted as a complete one).

--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t kMaxUnparsedBytes = 131'072;
 constexpr unsigned kHttpVersion = 11;
 constexpr int kFirstError = 400;
+// Limit for the interim responses to one request.
+constexpr int kMaxInterimResponses = 64;
 const common::SteadyClock kSteadyClock;
 
 struct Connection {
@@ -198,9 +200,16 @@
     const ResponseHead head{.status = static_cast<int>(message.result_int()),
                             .headers = message.base(),
                             .chunked = message.chunked()};
-    const auto kind = forwarding::KindOfResponse(head.status, head.headers);
-    if (kind == forwarding::ResponseKind::kInvalid) {
-      return End(CallEnd::kInvalid);
+    switch (forwarding::KindOfResponse(head.status, head.headers)) {
+      case forwarding::ResponseKind::kInvalid:
+        return End(CallEnd::kInvalid);
+      case forwarding::ResponseKind::kInterim:
+        if (++interim_responses_ > kMaxInterimResponses) {
+          return End(CallEnd::kInvalid);
+        }
+        return ReadHead();
+      case forwarding::ResponseKind::kFinal:
+        break;
     }
     if (handlers_.on_head) handlers_.on_head(head);
     ReadBody();
@@ -272,6 +281,7 @@
   net::any_io_executor executor_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   std::array<char, kPieceBytes> piece_{};
+  int interim_responses_ = 0;
   bool ended_ = false;
 };
 
--- a/Source/UnitTests/Core/Runtime/BrokenResponsesTest.cpp
+++ b/Source/UnitTests/Core/Runtime/BrokenResponsesTest.cpp
@@ -14,6 +14,9 @@
     "Shallotbeam-Verdict: completed\r\nContent-Length: 5\r\n\r\nwhole";
 const std::string kUndefinedStatuses[] = {"000", "099", "101", "600", "999"};
 
+const std::string kInterim =
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n";
+
 struct Fixture : RelayFixture {
   void Reply(const std::string& bytes) {
     boost::asio::write(peer, boost::asio::buffer(bytes));
@@ -24,6 +27,12 @@
       context.run_one_for(std::chrono::milliseconds(2));
     }
   }
+
+  void CheckReceivedWhole() {
+    RunUntil([this] { return received.has_value(); });
+    BOOST_CHECK_EQUAL(received->status, 200);
+    BOOST_CHECK_EQUAL(received->body, "whole");
+  }
 };
 
 std::string ResponseWithStatus(const std::string& status) {
@@ -56,6 +65,21 @@
   BOOST_CHECK(!it.received);
 }
 
+// Guards against an interim response that is passed on as the final one.
+BOOST_FIXTURE_TEST_CASE(AgentSkipsInterimResponses, Fixture) {
+  StartAsAgent();
+  Reply(kInterim + ResponseWithStatus("200"));
+  BOOST_CHECK(upstream_outcome == admission::UpstreamOutcome::kCompleted);
+  CheckReceivedWhole();
+}
+
+BOOST_FIXTURE_TEST_CASE(RouterSkipsInterimResponses, Fixture) {
+  StartAsRouter();
+  Reply(kInterim + ResponseWithStatus("200"));
+  BOOST_CHECK(dispatch_outcome == routing::DispatchOutcome::kCompleted);
+  CheckReceivedWhole();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::runtime
--- a/Source/UnitTests/Core/Transport/BrokenResponsesTest.cpp
+++ b/Source/UnitTests/Core/Transport/BrokenResponsesTest.cpp
@@ -64,6 +64,23 @@
   BOOST_CHECK_EQUAL(result.response.body, "");
 }
 
+// Guards against an interim response that is taken for the final one.
+BOOST_AUTO_TEST_CASE(InterimResponsesAreSkipped) {
+  const Result result = FetchBytes(
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+  BOOST_CHECK(result.end == CallEnd::kComplete);
+  BOOST_CHECK_EQUAL(result.response.status, 200);
+  BOOST_CHECK_EQUAL(result.response.body, "whole");
+}
+
+// Guards against a call that interim responses without end keep alive.
+BOOST_AUTO_TEST_CASE(InterimResponsesAreBounded) {
+  std::string bytes;
+  for (int i = 0; i < 1'000; ++i) bytes += "HTTP/1.1 100 Continue\r\n\r\n";
+  BOOST_CHECK(FetchBytes(bytes).end == CallEnd::kInvalid);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::transport
