Take a header line that begins with a blank for no response

Callers saw (by the new tests; reported by operators of systems like ours): a faulty replica writes a header whose name begins with a blank. The caller got the answer with that line as a part of the header before it, which may be the digest; and if it was the length, the body up to the end of the connection.

Cause: the parser joins such a line to the one before it (obs-fold). Bytes that may not be in a name anywhere else are rejected by the parser: passed at once, as did all control bytes and blanks in the middle and at the end of a name, at the gateway and at router and agent.

Evidence: failed before: blank and tab at the beginning of a line other than the first, whole and cut into pieces at UpstreamConnection, at HttpClient, and at the gateway for an order (passed on) and a lookup (not retried).

Change: both clients look at the text of the head that the parser consumes, and reject a folded line; RFC 9112 5.2 allows a gateway to answer 502 in its place. HttpClient reads the head itself for that, as the library's function keeps the text.

Ruled out: a look at the joined values. The parser trims and joins them with one blank, so that they can't be told from others.

--- a/Source/Core/Forwarding/Framing.cpp
+++ b/Source/Core/Forwarding/Framing.cpp
@@ -66,6 +66,11 @@
                                     : ResponseKind::kFinal;
 }
 
+bool HasFoldedLine(std::string_view head) {
+  return head.find("\n ") != std::string_view::npos ||
+         head.find("\n\t") != std::string_view::npos;
+}
+
 bool HasExcessiveFraming(const MessageBytes& bytes, std::size_t head_limit) {
   const std::size_t framing = bytes.consumed - bytes.body;
   // The head and the trailers.
--- a/Source/Core/Forwarding/Framing.h
+++ b/Source/Core/Forwarding/Framing.h
@@ -31,6 +31,12 @@
 // framing and a change of protocol, for which no request asks.
 ResponseKind KindOfResponse(int status, const Fields& fields);
 
+// Whether a line of `head` begins with a blank, which RFC 9112 lets a recipient
+// reject. The parser joins such a line to the header before it, even if a
+// faulty sender meant a header of its own. `head` is a whole head, or the part
+// of it from the beginning of a line.
+bool HasFoldedLine(std::string_view head);
+
 // Idle timeout of the sender in seconds, from the Keep-Alive header.
 std::optional<int> KeepAliveSeconds(const Fields& fields);
 
--- a/Source/Core/Forwarding/UpstreamConnection.cpp
+++ b/Source/Core/Forwarding/UpstreamConnection.cpp
@@ -151,11 +151,14 @@
     parser_->eager(had_head);
     const std::size_t used =
         parser_->put(net::buffer(input_.data(), input_.size()), ec);
+    const bool folded =
+        !had_head && HasFoldedLine(std::string_view(input_).substr(0, used));
     input_.erase(0, used);
     message_bytes_.consumed += used;
     message_bytes_.body += parser_->get().body().size();
     if (skipping_) skipped_bytes_ += used;
     if (ec && ec != http::error::need_more) return End(ExchangeEnd::kBroken);
+    if (folded) return End(ExchangeEnd::kBroken);
     if (!had_head && parser_->is_header_done() && !OnHead()) return;
     DeliverBody();
     if (closed_ || listener_ == nullptr) return;
--- a/Source/Core/Transport/HttpClient.cpp
+++ b/Source/Core/Transport/HttpClient.cpp
@@ -31,6 +31,7 @@
 
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
 constexpr std::size_t kPieceBytes = 16'384;
+constexpr std::size_t kHeadReadBytes = 4'096;
 // Bytes read and not parsed yet. The parser takes a chunk header and all
 // trailers as a whole and has no limit for either.
 constexpr std::size_t kMaxUnparsedBytes = 131'072;
@@ -186,12 +187,29 @@
     parser_.emplace();
     // Boost 1.74 treats an absent limit as a limit of zero.
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-    http::async_read_header(
-        connection_->stream, connection_->buffer, *parser_,
-        [self = shared_from_this()](error_code ec, std::size_t) {
+    ParseHead();
+  }
+
+  // Parses what has been read. The library's own function for a head does not
+  // give access to its text.
+  void ParseHead() {
+    beast::flat_buffer& buffer = connection_->buffer;
+    const net::const_buffer input = buffer.data();
+    error_code ec;
+    const std::size_t used = parser_->put(input, ec);
+    const bool folded = forwarding::HasFoldedLine(
+        {static_cast<const char*>(input.data()), used});
+    buffer.consume(used);
+    if (folded) return End(CallEnd::kInvalid);
+    if (ec && ec != http::error::need_more) return Fail(ec);
+    if (parser_->is_header_done()) return OnHead();
+    connection_->stream.async_read_some(
+        buffer.prepare(kHeadReadBytes),
+        [self = shared_from_this()](error_code ec, std::size_t n) {
           if (self->ended_) return;
           if (ec) return self->Fail(ec);
-          self->OnHead();
+          self->connection_->buffer.commit(n);
+          self->ParseHead();
         });
   }
 
--- a/Source/UnitTests/Core/Gateway/BrokenResponsesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/BrokenResponsesTest.cpp
@@ -14,6 +14,12 @@
     "HTTP/1.1 099 x\r\n",
     "HTTP/1.1 600 x\r\n",
     "HTTP/1.1 999 x\r\n",
+    "HTTP/1.1 200 OK\r\nNa me: x\r\n",
+    "HTTP/1.1 200 OK\r\nNa\x01me: x\r\n",
+    "HTTP/1.1 200 OK\r\nName : x\r\n",
+    "HTTP/1.1 200 OK\r\n Name: x\r\n",
+    "HTTP/1.1 200 OK\r\nType: a\r\n Name: x\r\n",
+    "HTTP/1.1 200 OK\r\nType: a\r\n\tName: x\r\n",
 };
 
 // Two upstreams, of which the one that is asked first sends a broken response.
--- a/Source/UnitTests/Core/Transport/BrokenResponsesTest.cpp
+++ b/Source/UnitTests/Core/Transport/BrokenResponsesTest.cpp
@@ -50,6 +50,12 @@
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
 };
 
+const std::string kMalformedNames[] = {
+    "Na me: x\r\n",    "Na\tme: x\r\n",           "Name : x\r\n",
+    "Na\x01me: x\r\n", "Name\x7f: x\r\n",         "\x1fName: x\r\n",
+    " Name: x\r\n",    "Type: a\r\n Name: x\r\n", "Type: a\r\n\tName: x\r\n",
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(BrokenResponsesTest)
@@ -81,6 +87,16 @@
   BOOST_CHECK(FetchBytes(bytes).end == CallEnd::kInvalid);
 }
 
+// Guards against a header whose name holds a blank or a control byte.
+BOOST_DATA_TEST_CASE(MalformedNameIsNoResponse,
+                     boost::unit_test::data::make(kMalformedNames), line) {
+  const Result result = FetchBytes("HTTP/1.1 200 OK\r\n" + line +
+                                   "Content-Length: 5\r\n\r\nwhole");
+  BOOST_CHECK(result.end != CallEnd::kComplete);
+  BOOST_CHECK_EQUAL(result.response.status, 0);
+  BOOST_CHECK_EQUAL(result.response.body, "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::transport
