Take no body for whole that a reset follows while the request is being sent

Seen by operators of systems like ours: a replica answers a long upload at once with a 200 without length, sends a part of the body and resets the connection; the client gets the part as the whole answer.

Not handled: an upstream that closes when it has read all that has arrived, or that shuts down its side before, ends the stream first and resets the connection at the next byte. The end alone completed the body.

Cause: UpstreamConnection took the end of the stream for the end of the body without a look at the request that it was still writing, and reading shows no reset once the stream has ended.

Change: after the end of the stream the rest of the request is written first; if that fails, the exchange is broken. At its end the socket is asked for a pending reset. An upstream that ends its side and goes on reading is answered as before (test).

ResetAfterTheEndOfTheStreamIsNoEnd and ResetWithAnUnreadRequestIsNoEnd failed before.

--- a/Source/Core/Forwarding/UpstreamConnection.cpp
+++ b/Source/Core/Forwarding/UpstreamConnection.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Forwarding/Framing.h"
+#include "Forwarding/Sockets.h"
 
 namespace shallotbeam::forwarding {
 
@@ -99,8 +100,10 @@
     return;
   }
   sent_ += n;
+  const bool sent = sent_ == request_.bytes.size();
+  if (eof_ && sent) return EndAtEof();
   Read();
-  if (sent_ == request_.bytes.size()) return;
+  if (sent) return;
   socket_.async_wait(net::socket_base::wait_write,
                      [self = shared_from_this()](error_code ec) {
                        if (self->closed_ || self->listener_ == nullptr) return;
@@ -110,7 +113,7 @@
 }
 
 void UpstreamConnection::Read() {
-  if (reading_ || closed_ || paused_) return;
+  if (reading_ || closed_ || paused_ || eof_) return;
   reading_ = true;
   socket_.async_read_some(
       net::buffer(read_buffer_),
@@ -243,12 +246,21 @@
 
 void UpstreamConnection::OnEof() {
   if (listener_ == nullptr) return Close();
-  if (!parser_ || !parser_->is_header_done() || !parser_->need_eof()) {
+  if (!parser_ || !parser_->is_header_done() || !parser_->need_eof() ||
+      skipping_) {
     return End(ExchangeEnd::kBroken);
   }
+  eof_ = true;
+  // While the request is still being sent, the upstream may have closed the
+  // connection early, with only a part of the body sent. Writing the rest then
+  // fails.
+  if (sent_ == request_.bytes.size()) EndAtEof();
+}
+
+void UpstreamConnection::EndAtEof() {
   error_code ec;
   parser_->put_eof(ec);
-  const bool complete = !ec && parser_->is_done() && !skipping_;
+  const bool complete = !ec && parser_->is_done() && !WasReset(socket_);
   keep_alive_ = false;
   End(complete ? ExchangeEnd::kComplete : ExchangeEnd::kBroken);
 }
--- a/Source/Core/Forwarding/UpstreamConnection.h
+++ b/Source/Core/Forwarding/UpstreamConnection.h
@@ -91,6 +91,8 @@
   bool ExceedsLimits() const;
   void OnMessageDone();
   void OnEof();
+  // Ends the exchange whose body has ended with the connection.
+  void EndAtEof();
   void End(ExchangeEnd end);
 
   static constexpr std::size_t kReadBytes = 16'384;
@@ -115,6 +117,7 @@
   bool closed_ = false;
   bool paused_ = false;
   bool reading_ = false;
+  bool eof_ = false;  // the upstream has ended its side of the connection
   common::TimePoint idle_since_;
   common::Duration idle_limit_;
 };
--- a/Source/UnitTests/Core/Forwarding/BrokenResponsesTest.cpp
+++ b/Source/UnitTests/Core/Forwarding/BrokenResponsesTest.cpp
@@ -10,6 +10,9 @@
 
 constexpr int kLastControlByte = 31;
 constexpr int kDelete = 127;
+// More than the buffers of both sockets hold.
+const std::string kUpload(32 * kMebibyte, 'u');
+const std::string kUnsizedPart = "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart";
 
 // Blank and control bytes, none of which may be in the name of a header.
 std::string ForbiddenBytes() {
@@ -95,6 +98,60 @@
   BOOST_CHECK_EQUAL(listener.body, " who\n ");
 }
 
+// The next tests guard against a part of a body without length that counts as
+// whole: the upstream resets the connection while the request is being sent.
+
+BOOST_FIXTURE_TEST_CASE(ResetDuringAnUploadIsNoEnd, UpstreamFixture) {
+  Send("a", /*head_only=*/false, kUpload);
+  Reply(kUnsizedPart);
+  BOOST_REQUIRE(!listener.end);
+  Reset();
+  Run();
+  BOOST_CHECK(listener.end == ExchangeEnd::kBroken);
+}
+
+BOOST_FIXTURE_TEST_CASE(ResetTogetherWithTheBodyIsNoEnd, UpstreamFixture) {
+  Send("a", /*head_only=*/false, kUpload);
+  boost::asio::write(peer, boost::asio::buffer(kUnsizedPart));
+  Reset();
+  Run();
+  BOOST_CHECK(listener.end == ExchangeEnd::kBroken);
+}
+
+// An upstream that closes when it has read all that has arrived ends its side
+// of the connection first and resets it at the next byte.
+BOOST_FIXTURE_TEST_CASE(ResetAfterTheEndOfTheStreamIsNoEnd, UpstreamFixture) {
+  Send("a", /*head_only=*/false, kUpload);
+  boost::asio::write(peer, boost::asio::buffer(kUnsizedPart));
+  ReadAll();
+  peer.close();
+  Run();
+  BOOST_CHECK(listener.end == ExchangeEnd::kBroken);
+}
+
+// The same with a request that the buffers hold, of which nothing is read.
+BOOST_FIXTURE_TEST_CASE(ResetWithAnUnreadRequestIsNoEnd, UpstreamFixture) {
+  Send("a", /*head_only=*/false, std::string(kMebibyte, 'u'));
+  boost::asio::write(peer, boost::asio::buffer(kUnsizedPart));
+  peer.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+  peer.close();
+  Run();
+  BOOST_CHECK(listener.end == ExchangeEnd::kBroken);
+}
+
+// An early response of an upstream that goes on reading is whole.
+BOOST_FIXTURE_TEST_CASE(EarlyResponseOfAReaderIsWhole, UpstreamFixture) {
+  Send("a", /*head_only=*/false, kUpload);
+  boost::asio::write(peer, boost::asio::buffer(kUnsizedPart));
+  peer.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+  for (int i = 0; i < 100 && !listener.end; ++i) {
+    ReadAll();
+    Run();
+  }
+  BOOST_CHECK(listener.end == ExchangeEnd::kComplete);
+  BOOST_CHECK_EQUAL(listener.body, "part");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::forwarding
--- a/Source/UnitTests/Core/Forwarding/UpstreamFixture.h
+++ b/Source/UnitTests/Core/Forwarding/UpstreamFixture.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTBEAM_UNITTESTS_CORE_FORWARDING_UPSTREAMFIXTURE_H_
 #define SHALLOTBEAM_UNITTESTS_CORE_FORWARDING_UPSTREAMFIXTURE_H_
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -110,6 +111,19 @@
     Run();
   }
 
+  // Reads what has arrived of the request.
+  void ReadAll() {
+    boost::system::error_code ec;
+    std::array<char, 65'536> buf{};
+    while (!ec) peer.read_some(boost::asio::buffer(buf), ec);
+  }
+
+  // Closes the connection at the upstream with a reset.
+  void Reset() {
+    peer.set_option(boost::asio::socket_base::linger(true, 0));
+    peer.close();
+  }
+
   // Sends `bytes` until the exchange has ended. Returns the highest growth of
   // resident memory.
   std::size_t ReplyEndlessly(const std::string& bytes) {
--- a/Source/UnitTests/Core/Transport/BrokenResponsesTest.cpp
+++ b/Source/UnitTests/Core/Transport/BrokenResponsesTest.cpp
@@ -97,6 +97,35 @@
   BOOST_CHECK_EQUAL(result.response.body, "");
 }
 
+// Guards against a part of a body without length that counts as whole: the
+// server resets the connection while the request is being sent.
+BOOST_AUTO_TEST_CASE(ResetDuringAnUploadIsNoEnd) {
+  constexpr std::size_t kUploadBytes = 33'554'432;
+  for (const bool reads_first : {false, true}) {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(
+        context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    std::thread server([&] {
+      auto socket = acceptor.accept();
+      WriteText(socket, "HTTP/1.1 200 OK\r\n\r\npart");
+      if (reads_first) ReadUntil(socket, "uuu");
+      socket.set_option(boost::asio::socket_base::linger(true, 0));
+    });
+    HttpClient client(context);
+    std::optional<CallEnd> end;
+    client.Fetch(
+        {.address = "127.0.0.1", .port = acceptor.local_endpoint().port()},
+        {.method = "POST",
+         .target = "/",
+         .body = std::string(kUploadBytes, 'u')},
+        std::chrono::seconds(5),
+        [&](CallEnd it, const HttpResponse&) { end = it; });
+    context.run();
+    server.join();
+    BOOST_CHECK(end == CallEnd::kBroken);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::transport
