Reset the connection of an HTTP/1.0 caller whose body breaks off

Callers saw: a body that the gateway streams, because it is long or a stream of events, and whose upstream breaks off, looked whole to a caller of HTTP/1.0.

Cause: such a body has no chunks and ends with the connection, and the gateway ended it by closing the connection, as it does after a whole body. Callers of HTTP/1.1 miss the last chunk and were not concerned.

BodyThatBreaksOffIsResetForOldCallers failed before for 1.0 and passed for 1.1. The test's caller now keeps how its connection ended.

--- a/Source/Core/Forwarding/CallerConnection.cpp
+++ b/Source/Core/Forwarding/CallerConnection.cpp
@@ -215,13 +215,14 @@
 void CallerConnection::BeginStream(int status, std::string_view headers) {
   if (state_ != State::kServing || head_sent_) return;
   head_sent_ = true;
-  chunked_ = version_ >= 11;
-  if (!chunked_) keep_alive_ = false;
+  ends_with_connection_ = version_ < 11;
+  if (ends_with_connection_) keep_alive_ = false;
   std::string bytes;
   fmt::format_to(std::back_inserter(bytes), "HTTP/1.1 {} {}\r\n", status,
                  ReasonPhrase(status));
   bytes.append(headers);
-  if (chunked_) AppendHeader("Transfer-Encoding", "chunked", &bytes);
+  if (!ends_with_connection_)
+    AppendHeader("Transfer-Encoding", "chunked", &bytes);
   AppendFraming(&bytes);
   bytes.append("\r\n");
   // Sent together with the first piece of the body.
@@ -230,7 +231,7 @@
 
 void CallerConnection::Write(std::string_view bytes) {
   if (state_ != State::kServing || !head_sent_ || bytes.empty()) return;
-  if (!chunked_) return WriteOrBuffer(bytes);
+  if (ends_with_connection_) return WriteOrBuffer(bytes);
   std::string chunk;
   chunk.reserve(bytes.size() + 16);
   AppendChunk(bytes, &chunk);
@@ -239,7 +240,7 @@
 
 void CallerConnection::Finish() {
   if (state_ != State::kServing || !head_sent_) return;
-  WriteOrBuffer(chunked_ ? kLastChunk : std::string_view());
+  WriteOrBuffer(ends_with_connection_ ? std::string_view() : kLastChunk);
   EndResponse();
 }
 
@@ -330,8 +331,12 @@
 void CallerConnection::Close() {
   if (state_ == State::kClosed) return;
   const bool unanswered = state_ == State::kServing;
-  state_ = State::kClosed;
   error_code ec;
+  // The caller would take the end of the stream for the end of the body.
+  if (ends_with_connection_ && (unanswered || !output_.empty())) {
+    socket_.set_option(net::socket_base::linger(true, 0), ec);
+  }
+  state_ = State::kClosed;
   socket_.close(ec);
   const CallerCallbacks callbacks = std::exchange(callbacks_, {});
   if (unanswered && callbacks.on_disconnected) callbacks.on_disconnected();
--- a/Source/Core/Forwarding/CallerConnection.h
+++ b/Source/Core/Forwarding/CallerConnection.h
@@ -149,7 +149,8 @@
   bool reading_ = false;
   bool awaiting_writable_ = false;
   bool head_sent_ = false;
-  bool chunked_ = false;
+  // The body of the response has no length and ends with the connection.
+  bool ends_with_connection_ = false;
   bool keep_alive_ = true;
   bool close_when_idle_ = false;
   bool continue_sent_ = false;
--- a/Source/UnitTests/Core/Gateway/BrokenResponsesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/BrokenResponsesTest.cpp
@@ -72,6 +72,32 @@
   BOOST_CHECK_EQUAL(it.requests, 2);
 }
 
+// Guards against a part of a body that counts as whole for a caller of
+// HTTP/1.0, to which only a reset shows that a body has no end.
+BOOST_AUTO_TEST_CASE(BodyThatBreaksOffIsResetForOldCallers) {
+  // More than the gateway collects before it begins a response.
+  const std::string part(500'000, 'p');
+  GatewayFixture fleet;
+  FakeUpstream upstream(fleet.context, [&part](const std::string&) {
+    return FakeUpstream::Reaction{
+        "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Length: "
+        "900000\r\n\r\n" +
+            part,
+        /*close=*/true};
+  });
+  fleet.AddUpstream("u1", upstream.Endpoint());
+  for (const std::string version : {"1.0", "1.1"}) {
+    Caller caller(fleet.context, fleet.gateway->CallersPort());
+    std::string request = GatewayFixture::Request("/order/1");
+    request.replace(request.find("1.1"), 3, version);
+    caller.Send(request);
+    fleet.RunUntil([&] { return caller.IsClosed(); });
+    BOOST_CHECK(Contains(caller.Received(), "HTTP/1.1 200"));
+    BOOST_CHECK(!Contains(caller.Received(), "\r\n0\r\n\r\n"));
+    BOOST_CHECK_EQUAL(caller.WasReset(), version == "1.0");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace shallotbeam::gateway
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -120,12 +120,12 @@
   explicit Reader(tcp::socket s) : socket(std::move(s)) {}
 
   void Read(std::function<void(std::string_view)> on_bytes,
-            std::function<void()> on_end) {
+            std::function<void(error_code)> on_end) {
     socket.async_read_some(
         net::buffer(buffer),
         [self = shared_from_this(), on_bytes = std::move(on_bytes),
          on_end = std::move(on_end)](error_code ec, std::size_t n) {
-          if (ec) return on_end();
+          if (ec) return on_end(ec);
           on_bytes({self->buffer.data(), n});
           self->Read(on_bytes, on_end);
         });
@@ -206,7 +206,7 @@
           net::write(reader->socket, net::buffer(reaction.bytes), ignored);
           if (reaction.close) reader->socket.close(ignored);
         },
-        [open = open_] { --*open; });
+        [open = open_](error_code) { --*open; });
     Accept();
   });
 }
@@ -232,14 +232,14 @@
 Caller::Caller(net::io_context& context, std::uint16_t port)
     : socket_(context),
       received_(std::make_shared<std::string>()),
-      closed_(std::make_shared<bool>(false)) {
+      end_(std::make_shared<error_code>()) {
   socket_.connect({net::ip::make_address(std::string(kLocal)), port});
   const auto reader = std::make_shared<Reader>(tcp::socket(context));
   // The reader uses a duplicate of the descriptor.
   reader->socket.assign(tcp::v4(), dup(socket_.native_handle()));
   reader->Read([received = received_](
                    std::string_view bytes) { received->append(bytes); },
-               [closed = closed_] { *closed = true; });
+               [end = end_](error_code ec) { *end = ec; });
 }
 
 void Caller::Send(const std::string& bytes) {
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -88,12 +88,16 @@
   void Close();
   // Everything received so far.
   const std::string& Received() const { return *received_; }
-  bool IsClosed() const { return *closed_; }
+  bool IsClosed() const { return *end_ != boost::system::error_code(); }
+  // Whether the connection has ended other than by the end of the stream.
+  bool WasReset() const {
+    return IsClosed() && *end_ != boost::asio::error::eof;
+  }
 
  private:
   boost::asio::ip::tcp::socket socket_;
   std::shared_ptr<std::string> received_;
-  std::shared_ptr<bool> closed_;
+  std::shared_ptr<boost::system::error_code> end_;
 };
 
 // A gateway on a loopback port. Requests of route /order/ may run once, those
