--- a/Source/Core/Forwarding/CallerConnection.cpp
+++ b/Source/Core/Forwarding/CallerConnection.cpp
@@ -221,8 +221,9 @@
   fmt::format_to(std::back_inserter(bytes), "HTTP/1.1 {} {}\r\n", status,
                  ReasonPhrase(status));
   bytes.append(headers);
-  if (!ends_with_connection_)
+  if (!ends_with_connection_) {
     AppendHeader("Transfer-Encoding", "chunked", &bytes);
+  }
   AppendFraming(&bytes);
   bytes.append("\r\n");
   // Sent together with the first piece of the body.
