--- a/Source/UnitTests/Core/Runtime/RelayFixture.h
+++ b/Source/UnitTests/Core/Runtime/RelayFixture.h
@@ -75,8 +75,9 @@
     return upstream_outcome.has_value() || dispatch_outcome.has_value();
   }
 
+  // Fails the test if `condition` does not hold within half a second.
   void RunUntil(const std::function<bool()>& condition) {
-    constexpr int kRounds = 500;
+    constexpr int kRounds = 50;
     for (int i = 0; i < kRounds && !condition(); ++i) {
       context.restart();
       context.run_one_for(std::chrono::milliseconds(10));
