--- a/Source/UnitTests/Core/Runtime/RelayFixture.h
+++ b/Source/UnitTests/Core/Runtime/RelayFixture.h
@@ -44,7 +44,7 @@
         [this](transport::CallEnd end, const transport::HttpResponse& it) {
           if (end == transport::CallEnd::kComplete) received = it;
         });
-    RunUntil([this] { return exchange != nullptr; });
+    RunUntil([this] { return exchange != nullptr; }, kSetupRounds);
   }
 
   // Calls the peer as an agent calls its upstream, and accepts the call.
@@ -75,10 +75,10 @@
     return upstream_outcome.has_value() || dispatch_outcome.has_value();
   }
 
-  // Fails the test if `condition` does not hold within half a second.
-  void RunUntil(const std::function<bool()>& condition) {
-    constexpr int kRounds = 50;
-    for (int i = 0; i < kRounds && !condition(); ++i) {
+  // Fails the test if `condition` does not hold after `rounds` of at most 10
+  // ms.
+  void RunUntil(const std::function<bool()>& condition, int rounds = 50) {
+    for (int i = 0; i < rounds && !condition(); ++i) {
       context.restart();
       context.run_one_for(std::chrono::milliseconds(10));
     }
@@ -86,9 +86,11 @@
   }
 
  private:
+  static constexpr int kSetupRounds = 500;
+
   void Accept() {
     acceptor.async_accept(peer, [](boost::system::error_code) {});
-    RunUntil([this] { return peer.is_open(); });
+    RunUntil([this] { return peer.is_open(); }, kSetupRounds);
   }
 };
 
