Share the fixture of a faulty and a sound upstream among gateway tests

It stood in BrokenResponsesTest and EndlessResponsesTest. No check changes; with the range of statuses taken out of KindOfResponse on a trial, cases of BrokenResponsesTest fail as before. Both packages' tests and lint of the changed files pass.

--- a/Source/UnitTests/Core/Gateway/BrokenResponsesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/BrokenResponsesTest.cpp
@@ -22,27 +22,10 @@
     "HTTP/1.1 200 OK\r\nType: a\r\n\tName: x\r\n",
 };
 
-// Two upstreams, of which the one that is asked first sends a broken response.
-struct Fixture {
-  explicit Fixture(const std::string& head)
-      : broken(head + "Id: r1\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole") {
-    fleet.AddUpstream("u1", first.Endpoint());
-    fleet.AddUpstream("u2", second.Endpoint());
-  }
-
-  FakeUpstream::Reaction React(const std::string& request) {
-    return ++requests == 1 ? FakeUpstream::Reaction{broken, /*close=*/true}
-                           : RespondDone(request);
-  }
-
-  const std::string broken;
-  int requests = 0;
-  GatewayFixture fleet;
-  FakeUpstream first{fleet.context,
-                     [this](const std::string& it) { return React(it); }};
-  FakeUpstream second{fleet.context,
-                      [this](const std::string& it) { return React(it); }};
-};
+FakeUpstream::Reaction BrokenReaction(const std::string& head) {
+  return {.bytes = head + "Id: r1\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole",
+          .close = true};
+}
 
 }  // namespace
 
@@ -54,7 +37,7 @@
 // them.
 BOOST_DATA_TEST_CASE(OrderIsAnsweredByTheGateway,
                      boost::unit_test::data::make(kBrokenHeads), head) {
-  Fixture it(head);
+  FaultyFirstFixture it(BrokenReaction(head));
   const std::string response = it.fleet.Exchange("/order/1");
   BOOST_CHECK_EQUAL(response.substr(0, 13), "HTTP/1.1 502 ");
   BOOST_CHECK(!Contains(response, "Seal"));
@@ -65,7 +48,7 @@
 // Guards against a lookup that fails though another upstream can serve it.
 BOOST_DATA_TEST_CASE(LookupIsServedByTheOtherUpstream,
                      boost::unit_test::data::make(kBrokenHeads), head) {
-  Fixture it(head);
+  FaultyFirstFixture it(BrokenReaction(head));
   const std::string response = it.fleet.Exchange("/look/1");
   BOOST_CHECK_EQUAL(response.substr(0, 13), "HTTP/1.1 200 ");
   BOOST_CHECK(Contains(response, "done"));
--- a/Source/UnitTests/Core/Gateway/EndlessResponsesTest.cpp
+++ b/Source/UnitTests/Core/Gateway/EndlessResponsesTest.cpp
@@ -14,28 +14,6 @@
     "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
     "Content-Length: 99999999999\r\n\r\n";
 
-// Two upstreams, of which the one that is asked first starts a refusal that has
-// no end.
-struct Fixture {
-  explicit Fixture(std::string refusal) : refusal(std::move(refusal)) {
-    fleet.AddUpstream("u1", first.Endpoint());
-    fleet.AddUpstream("u2", second.Endpoint());
-  }
-
-  FakeUpstream::Reaction React(const std::string& request) {
-    return ++requests == 1 ? FakeUpstream::Reaction{refusal}
-                           : RespondDone(request);
-  }
-
-  std::string refusal;
-  int requests = 0;
-  GatewayFixture fleet;
-  FakeUpstream first{fleet.context,
-                     [this](const std::string& it) { return React(it); }};
-  FakeUpstream second{fleet.context,
-                      [this](const std::string& it) { return React(it); }};
-};
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(EndlessResponsesTest)
@@ -43,7 +21,7 @@
 // Guards against a request, which has not run and may be sent elsewhere, that
 // waits for the end of a refusal until its deadline.
 BOOST_AUTO_TEST_CASE(RefusalThatStallsIsNotAwaited) {
-  Fixture it(kUnendingRefusal);
+  FaultyFirstFixture it({.bytes = kUnendingRefusal});
   Caller caller(it.fleet.context, it.fleet.gateway->CallersPort());
   caller.Send(GatewayFixture::Request("/order/1"));
   it.fleet.RunUntil([&] { return it.requests == 1; });
@@ -54,7 +32,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(RefusalThatGoesOnIsNotAwaited) {
-  Fixture it(kUnendingRefusal + std::string(100'000, 'x'));
+  FaultyFirstFixture it(
+      {.bytes = kUnendingRefusal + std::string(100'000, 'x')});
   Caller caller(it.fleet.context, it.fleet.gateway->CallersPort());
   caller.Send(GatewayFixture::Request("/order/1"));
   it.fleet.RunUntil([&] { return Contains(caller.Received(), "done"); });
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -418,4 +418,14 @@
       path, extra_headers);
 }
 
+FaultyFirstFixture::FaultyFirstFixture(FakeUpstream::Reaction first_reaction)
+    : first_reaction(std::move(first_reaction)) {
+  fleet.AddUpstream("u1", u1.Endpoint());
+  fleet.AddUpstream("u2", u2.Endpoint());
+}
+
+FakeUpstream::Reaction FaultyFirstFixture::React(const std::string& request) {
+  return ++requests == 1 ? first_reaction : RespondDone(request);
+}
+
 }  // namespace shallotbeam::gateway
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -172,6 +172,22 @@
   std::uint64_t revision_ = 1;
 };
 
+// A gateway with two upstreams. The one that is asked first reacts with
+// `first_reaction`; after that, both serve.
+struct FaultyFirstFixture {
+  explicit FaultyFirstFixture(FakeUpstream::Reaction first_reaction);
+
+  FakeUpstream::Reaction React(const std::string& request);
+
+  FakeUpstream::Reaction first_reaction;
+  int requests = 0;
+  GatewayFixture fleet;
+  FakeUpstream u1{fleet.context,
+                  [this](const std::string& it) { return React(it); }};
+  FakeUpstream u2{fleet.context,
+                  [this](const std::string& it) { return React(it); }};
+};
+
 }  // namespace shallotbeam::gateway
 
 #endif  // SHALLOTBEAM_UNITTESTS_CORE_GATEWAY_GATEWAYFIXTURE_H_
