Evacuate data centres and pace cold upstreams

Cause: a gateway followed neither the operator's requests to evacuate a data centre nor what entries say of cold upstreams. Change: evacuation requests are items of the store that gateways follow and relay like the configuration; upstreams there accept no work. An upstream is taken for cold when its entry says so, when its data centre comes back, or when its own report shows a restart; its scheduler spaces the starts meanwhile.

--- a/Source/Core/Balancing/UpstreamTable.cpp
+++ b/Source/Core/Balancing/UpstreamTable.cpp
@@ -59,6 +59,7 @@
   upstream.name = name;
   upstream.entry = entry;
   upstream.listed = true;
+  upstream.evacuated = table.evacuated.count(entry.data_centre) != 0;
   if (added || restarted) {
     upstream.replaced = upstream.leaving = false;
     upstream.paused_until = {};
@@ -142,6 +143,21 @@
   return !std::exchange(it->second.leaving, true);
 }
 
+std::vector<common::UpstreamName> SetEvacuated(
+    UpstreamTable& table, const common::DataCentreName& data_centre,
+    bool evacuated) {
+  const bool changed = evacuated ? table.evacuated.insert(data_centre).second
+                                 : table.evacuated.erase(data_centre) != 0;
+  std::vector<common::UpstreamName> names;
+  if (!changed) return names;
+  for (auto& [name, it] : table.upstreams) {
+    if (it.entry.data_centre != data_centre) continue;
+    it.evacuated = evacuated;
+    names.push_back(name);
+  }
+  return names;
+}
+
 void Pause(UpstreamTable& table, const common::UpstreamName& name,
            common::TimePoint until) {
   const auto it = table.upstreams.find(name);
@@ -160,7 +176,8 @@
 }
 
 bool AcceptsWork(const Upstream& upstream) {
-  return !upstream.entry.draining && !upstream.replaced && !upstream.leaving;
+  return !upstream.entry.draining && !upstream.replaced && !upstream.leaving &&
+         !upstream.evacuated;
 }
 
 }  // namespace shallotbeam::balancing
--- a/Source/Core/Balancing/UpstreamTable.h
+++ b/Source/Core/Balancing/UpstreamTable.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -27,6 +28,8 @@
   // Start time of this incarnation. A restarted upstream keeps its name but has
   // lost its state.
   std::uint64_t started = 0;
+  // Time for which the upstream is still cold, as of the writing of the entry.
+  common::Duration cold_left{0};
   // Position of the store at which the entry was last written.
   common::StorePosition position;
 };
@@ -52,6 +55,8 @@
   // This incarnation has stated in a response that it leaves. Its entry may say
   // so later, or never.
   bool leaving = false;
+  // An operator asks to keep requests away from its data centre.
+  bool evacuated = false;
   // It has told this process to send no requests before this time.
   common::TimePoint paused_until;
 };
@@ -67,6 +72,8 @@
   UpstreamTableOptions options;
   std::unordered_map<common::UpstreamName, Upstream> upstreams;
   std::unordered_map<common::UpstreamName, RemovedUpstream> removed;
+  // Data centres that an operator has evacuated.
+  std::set<common::DataCentreName> evacuated;
 };
 
 enum class UpstreamChange : std::uint8_t {
@@ -93,7 +100,8 @@
                            common::TimePoint now,
                            std::optional<common::TimePoint> store_recovered);
 
-// Whether two entries differ at most in their position.
+// Whether two entries differ at most in their position and in how long the
+// upstream is cold.
 bool IsSameState(const UpstreamEntry& a, const UpstreamEntry& b);
 
 // Returns the other known upstreams with the same address.
@@ -107,6 +115,12 @@
 // whether that was new.
 bool MarkLeaving(UpstreamTable& table, const common::UpstreamName& name);
 
+// Begins or ends the evacuation of a data centre. Returns the upstreams there
+// if that was new.
+std::vector<common::UpstreamName> SetEvacuated(
+    UpstreamTable& table, const common::DataCentreName& data_centre,
+    bool evacuated);
+
 // Pauses an upstream that wants no requests from this process before `until`.
 void Pause(UpstreamTable& table, const common::UpstreamName& name,
            common::TimePoint until);
--- a/Source/Core/Catalogue/Model.h
+++ b/Source/Core/Catalogue/Model.h
@@ -10,6 +10,7 @@
 
 #include "Common/Clock.h"
 #include "Common/Types.h"
+#include "Pacing/ColdStarts.h"
 
 // Configuration that a gateway serves: routes, the pools behind them and the
 // callers with their credentials.
@@ -56,6 +57,7 @@
 
 struct Pool {
   std::optional<Engine> engine;
+  pacing::ColdLimit cold;
 };
 
 // Limits on what callers send.
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -121,6 +121,8 @@
                         .caller_connections = caller_server_.Connections(),
                         .upstreams = usable,
                         .passing_share = load_shedder_.share,
+                        .evacuated_data_centres = upstreams_.evacuated.size(),
+                        .cold_upstreams = cold_.size(),
                         .ready = IsReady(),
                         .store_age = StoreAge(),
                         .configuration_version = VersionOf(table_.get()),
@@ -156,6 +158,7 @@
   scheduler_client_.OnTick([this] { return StartsInProgress(); });
   OnPermitTick();
   SendLimits();
+  ExpireColdPeriods();
   ExchangeCrashReports();
   if (change_relay_) change_relay_->OnTick();
   CheckDeadlines();
@@ -307,11 +310,15 @@
 }
 
 bool Gateway::IsRelayed(const FleetChange& change) const {
-  if (change.catalogue || change.configuration_unreadable) return true;
+  if (change.catalogue || change.configuration_unreadable ||
+      change.evacuation) {
+    return true;
+  }
   const auto known = upstreams_.upstreams.find(change.upstream);
   if (known == upstreams_.upstreams.end()) return change.entry.has_value();
   return !change.entry || !known->second.listed ||
-         !balancing::IsSameState(known->second.entry, *change.entry);
+         !balancing::IsSameState(known->second.entry, *change.entry) ||
+         change.entry->cold_left > known->second.entry.cold_left;
 }
 
 void Gateway::ApplyChange(const FleetChange& change,
@@ -331,13 +338,14 @@
     configuration_unreadable_ = false;
     limits_ = table_->Source().limits;
     scheduler_client_.SetServiceRate(table_->Source().tokens_per_second);
-    for (const auto& [name, it] : upstreams_.upstreams) RegisterEngine(it);
+    for (const auto& [name, it] : upstreams_.upstreams) UpdateEngine(name);
     Log(Subsystem::kConfig, LogLevel::kInfo,
         "event=config_in_force version={} routes={} workspaces={}",
         common::ToNumber(table_->Source().version),
         table_->Source().routes.size(), table_->Source().workspaces.size());
     return;
   }
+  if (change.evacuation) return ApplyEvacuation(*change.evacuation);
   const common::TimePoint now = environment_.clock.Now();
   const balancing::UpstreamChange result =
       change.entry
@@ -361,6 +369,7 @@
     }
   }
   UpdateEngine(change.upstream);
+  if (change.entry) RecordColdEntry(change.upstream);
 }
 
 void Gateway::ForgetUpstream(const common::UpstreamName& name) {
@@ -369,6 +378,7 @@
   stated_.erase(name);
   stated_limits_.limits.erase(name);
   reported_limits_.erase(name);
+  cold_.erase(name);
   scheduler_client_.SetLimited(name, false);
   pacing::ForgetUpstream(permits_, name);
 }
@@ -388,7 +398,9 @@
   const auto pool = pools.find(upstream.entry.pool);
   if (pool == pools.end() || !pool->second.engine) return;
   scheduler_client_.PutEngine(upstream.name, upstream.entry.endpoint.address,
-                              upstream.entry.started, *pool->second.engine);
+                              upstream.entry.started, *pool->second.engine,
+                              pool->second.cold);
+  TellOfCold(upstream.name);
 }
 
 void Gateway::OnMalformed(int status) {
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -26,6 +26,7 @@
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/SchedulerClient.h"
 #include "Overload/LoadShedder.h"
+#include "Pacing/ColdStarts.h"
 #include "Pacing/PermitDesk.h"
 #include "Pacing/PermitSearch.h"
 #include "Pacing/StatedLimits.h"
@@ -36,12 +37,19 @@
 
 inline constexpr std::chrono::milliseconds kTickInterval{20};
 
+// An operator's request to keep requests away from a data centre, or its end.
+struct EvacuationChange {
+  common::DataCentreName data_centre;
+  bool requested = false;
+};
+
 // A decoded change of a store item.
 struct FleetChange {
   // Set if the item is a configuration.
   std::optional<catalogue::Catalogue> catalogue;
   // The item is a configuration that can't be read or was removed.
   bool configuration_unreadable = false;
+  std::optional<EvacuationChange> evacuation;
   // Set if the item is the entry of an upstream. `entry` is absent if the entry
   // was removed or can't be used.
   common::UpstreamName upstream;
@@ -134,6 +142,19 @@
   bool IsRelayed(const FleetChange& change) const;
   // Forgets what was known of an incarnation of an upstream that has ended.
   void ForgetUpstream(const common::UpstreamName& name);
+  void ApplyEvacuation(const EvacuationChange& change);
+  // Records until when an upstream is taken for cold.
+  void RecordCold(const common::UpstreamName& name, common::Duration left);
+  // Records what the entry of an upstream says of it.
+  void RecordColdEntry(const common::UpstreamName& name);
+  // Tells the scheduler client that an upstream is cold, if it is.
+  void TellOfCold(const common::UpstreamName& name);
+  std::optional<double> ColdRate(const common::UpstreamName& name) const;
+  // Limit of requests a second in force, stated by the upstream or because it
+  // is cold.
+  std::optional<double> LimitInForce(const common::UpstreamName& name) const;
+  // Ends the limits of upstreams that are no longer cold.
+  void ExpireColdPeriods();
   // Registers the engine of an upstream with the scheduler client while the
   // upstream accepts requests, and removes it otherwise.
   void UpdateEngine(const common::UpstreamName& name);
@@ -271,6 +292,7 @@
   // Limits that upstreams state, and the permits to start requests there.
   pacing::LimitTable stated_limits_;
   std::unordered_map<common::UpstreamName, ReportedLimit> reported_limits_;
+  std::unordered_map<common::UpstreamName, pacing::ColdPeriod> cold_;
   pacing::PermitSearch permits_;
   // Used if this gateway is a permit desk of others.
   pacing::PermitDesk permit_desk_;
--- /dev/null
+++ b/Source/Core/Gateway/GatewayColdStarts.cpp
@@ -0,0 +1,93 @@
+#include "Common/Logging.h"
+#include "Gateway/Gateway.h"
+
+// The part of Gateway that keeps requests away from evacuated data centres and
+// within the limit of cold upstreams.
+namespace shallotbeam::gateway {
+
+namespace {
+
+using common::Log;
+using common::LogLevel;
+using common::Subsystem;
+using std::chrono::milliseconds;
+
+}  // namespace
+
+void Gateway::ApplyEvacuation(const EvacuationChange& change) {
+  const auto names =
+      balancing::SetEvacuated(upstreams_, change.data_centre, change.requested);
+  Log(Subsystem::kMembership, LogLevel::kWarning,
+      "event=evacuation data_centre={} requested={} upstreams={}",
+      change.data_centre.value, change.requested, names.size());
+  for (const common::UpstreamName& it : names) {
+    UpdateEngine(it);
+    if (change.requested || table_ == nullptr) continue;
+    // Nothing has run there for a while, and the entry may be older than that.
+    const auto& pools = table_->Source().pools;
+    const auto pool = pools.find(upstreams_.upstreams.at(it).entry.pool);
+    if (pool != pools.end()) RecordCold(it, pool->second.cold.time);
+  }
+}
+
+void Gateway::RecordCold(const common::UpstreamName& name,
+                         common::Duration left) {
+  const auto upstream = upstreams_.upstreams.find(name);
+  if (upstream == upstreams_.upstreams.end() || left <= common::Duration(0)) {
+    return;
+  }
+  pacing::ColdPeriod& period = cold_[name];
+  const bool longer =
+      pacing::Extend(period, {.started = upstream->second.entry.started,
+                              .until = Now() + pacing::ClampColdTime(left)});
+  const auto rate = ColdRate(name);
+  if (!longer || !rate) return;
+  TellOfCold(name);
+  Log(Subsystem::kMembership, LogLevel::kInfo,
+      "event=upstream_cold upstream={} cold_ms={} rate_limit={}", name.value,
+      left / milliseconds(1), *rate);
+}
+
+void Gateway::RecordColdEntry(const common::UpstreamName& name) {
+  const auto it = upstreams_.upstreams.find(name);
+  if (it == upstreams_.upstreams.end()) return;
+  RecordCold(name, it->second.entry.cold_left);
+}
+
+void Gateway::TellOfCold(const common::UpstreamName& name) {
+  if (!ColdRate(name)) return;
+  scheduler_client_.SetColdUntil(name, cold_.at(name).until);
+  scheduler_client_.SetLimited(name, true);
+}
+
+std::optional<double> Gateway::ColdRate(
+    const common::UpstreamName& name) const {
+  const auto period = cold_.find(name);
+  const auto upstream = upstreams_.upstreams.find(name);
+  if (period == cold_.end() || upstream == upstreams_.upstreams.end() ||
+      table_ == nullptr) {
+    return std::nullopt;
+  }
+  const auto& pools = table_->Source().pools;
+  const auto pool = pools.find(upstream->second.entry.pool);
+  if (pool == pools.end()) return std::nullopt;
+  return pacing::ColdRate(pool->second.cold, period->second, Now());
+}
+
+std::optional<double> Gateway::LimitInForce(
+    const common::UpstreamName& name) const {
+  return pacing::LowerLimit(pacing::LimitOf(stated_limits_, name),
+                            ColdRate(name));
+}
+
+void Gateway::ExpireColdPeriods() {
+  std::erase_if(cold_, [this](const auto& it) {
+    const auto& [name, period] = it;
+    if (Now() < period.until) return false;
+    const bool stated = pacing::LimitOf(stated_limits_, name).has_value();
+    scheduler_client_.SetLimited(name, stated);
+    return true;
+  });
+}
+
+}  // namespace shallotbeam::gateway
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -279,7 +279,7 @@
   loads.reserve(group.size());
   for (const auto* it : group) loads.push_back(in_flight_[*it]);
   const auto* name = balancing::PickWithBoundedLoad(group, loads);
-  if (const auto limit = pacing::LimitOf(stated_limits_, *name)) {
+  if (const auto limit = LimitInForce(*name)) {
     pacing::TakeOwnStart(permits_, Now(), *name, *limit);
   }
   SendTo(
@@ -315,7 +315,7 @@
   call.grant = std::move(grant);
   call.cache_source.clear();
   const auto source = upstreams_.upstreams.find(call.grant.cache_source);
-  if (source != upstreams_.upstreams.end()) {
+  if (source != upstreams_.upstreams.end() && !source->second.evacuated) {
     call.cache_source = common::ToString(source->second.entry.endpoint);
   }
   ++in_flight_[name];
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -93,6 +93,9 @@
   set("caller_connections", static_cast<double>(gauges.caller_connections));
   set("upstreams", static_cast<double>(gauges.upstreams));
   set("passing_share", gauges.passing_share);
+  set("evacuated_data_centres",
+      static_cast<double>(gauges.evacuated_data_centres));
+  set("cold_upstreams", static_cast<double>(gauges.cold_upstreams));
   set("ready", gauges.ready ? 1 : 0);
   if (gauges.store_age) set("store_age_seconds", Seconds(*gauges.store_age));
   set("configuration_version",
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -24,6 +24,8 @@
   std::size_t upstreams = 0;  // that accept requests
   // Fraction of the offered load that the load shedder admits.
   double passing_share = 1;
+  std::size_t evacuated_data_centres = 0;
+  std::size_t cold_upstreams = 0;  // that get a limited number of requests
   bool ready = false;
   std::optional<common::Duration> store_age;  // absent before the first list
   std::uint64_t configuration_version = 0;
--- a/Source/Core/Gateway/GatewayPermits.cpp
+++ b/Source/Core/Gateway/GatewayPermits.cpp
@@ -37,13 +37,12 @@
     Call& call, const std::vector<const common::UpstreamName*>& candidates) {
   auto usable = candidates;
   std::erase_if(usable, [this](const auto* it) {
-    return pacing::LimitOf(stated_limits_, *it) &&
-           pacing::IsDenied(permits_, Now(), *it);
+    return LimitInForce(*it) && pacing::IsDenied(permits_, Now(), *it);
   });
   call.is_last_permit = usable.size() <= 1;
   if (usable.empty()) usable = candidates;
   const common::UpstreamName& name = *LeastLoaded(usable);
-  const auto limit = pacing::LimitOf(stated_limits_, name);
+  const auto limit = LimitInForce(name);
   if (!limit) return SendTo(call, name, {});
   const auto id = static_cast<pacing::PermitId>(++last_permit_);
   call.permit = id;
@@ -70,7 +69,7 @@
 std::vector<const common::UpstreamName*> Gateway::EnginesWithinLimits(
     std::vector<const common::UpstreamName*> candidates) const {
   std::erase_if(candidates, [this](const auto* it) {
-    const auto limit = pacing::LimitOf(stated_limits_, *it);
+    const auto limit = LimitInForce(*it);
     return limit && !pacing::HasOwnStart(permits_, Now(), *it, *limit);
   });
   return candidates;
@@ -86,13 +85,23 @@
   const auto call = permit_calls_.find(action.id);
   if (call == permit_calls_.end()) return;
   const common::UpstreamName& name = call->second->permit_upstream;
-  const auto limit = stated_limits_.limits.find(name);
-  if (limit == stated_limits_.limits.end()) return;
+  const auto upstream = upstreams_.upstreams.find(name);
+  const auto in_force = LimitInForce(name);
+  if (upstream == upstreams_.upstreams.end() || !in_force) return;
+  const auto stated = stated_limits_.limits.find(name);
+  const bool is_stated = stated != stated_limits_.limits.end() &&
+                         stated->second.per_second == in_force;
+  const pacing::StatedLimit limit =
+      is_stated ? stated->second
+                : pacing::StatedLimit{.started = upstream->second.entry.started,
+                                      .per_second = in_force,
+                                      .sent = Now(),
+                                      .received = Now()};
   scheduler_client_.SendToPeer(
       action.desk, protocol::PermitRequest{
                        .number = action.number,
                        .control = settings_.control,
-                       .limit = pacing::ToRow(name, limit->second, Now()),
+                       .limit = pacing::ToRow(name, limit, Now()),
                        .max_wait = common::ToMicroseconds(action.max_wait)});
 }
 
--- a/Source/Core/Gateway/GatewayStatements.cpp
+++ b/Source/Core/Gateway/GatewayStatements.cpp
@@ -60,7 +60,7 @@
                           const pacing::StatedLimit& limit) {
   if (!pacing::Record(stated_limits_, name, limit)) return;
   const pacing::StatedLimit& in_force = stated_limits_.limits.at(name);
-  scheduler_client_.SetLimited(name, in_force.per_second.has_value());
+  scheduler_client_.SetLimited(name, LimitInForce(name).has_value());
   scheduler_client_.SendLimit(pacing::ToRow(name, in_force, Now()));
   Log(Subsystem::kMembership, LogLevel::kInfo,
       "event=upstream_limit upstream={} rate_limit={}", name.value,
--- a/Source/Core/Gateway/SchedulerClient.cpp
+++ b/Source/Core/Gateway/SchedulerClient.cpp
@@ -40,10 +40,12 @@
 void SchedulerClient::PutEngine(const common::UpstreamName& upstream,
                                 const std::string& address,
                                 std::uint64_t started,
-                                const catalogue::Engine& engine) {
+                                const catalogue::Engine& engine,
+                                const pacing::ColdLimit& cold) {
   const common::Endpoint control{.address = address,
                                  .port = options_.control.port};
-  engines_[upstream] = {.control = control, .started = started, .spec = engine};
+  engines_[upstream] = {
+      .control = control, .started = started, .spec = engine, .cold = cold};
   upstream_by_control_[control] = upstream;
   // Sends reports at the next tick, since the scheduler may be new as well.
   next_report_ = {};
@@ -199,6 +201,14 @@
   for (const auto* it : names) SendTo(*it, report);
 }
 
+void SchedulerClient::SetColdUntil(const common::UpstreamName& upstream,
+                                   common::TimePoint until) {
+  const auto it = engines_.find(upstream);
+  if (it == engines_.end()) return;
+  it->second.cold_until = until;
+  next_report_ = {};
+}
+
 void SchedulerClient::SetLimited(const common::UpstreamName& upstream,
                                  bool limited) {
   if (limited) {
@@ -236,6 +246,7 @@
 }
 
 void SchedulerClient::SendReports(const InProgress& in_progress) {
+  const common::TimePoint now = clock_.Now();
   for (const auto& [upstream, it] : engines_) {
     const auto numbers = in_progress.find(upstream);
     std::vector<protocol::WorkspaceCounters> not_offered;
@@ -251,6 +262,10 @@
                          .upstream_started = it.started,
                          .slots = it.spec.slots,
                          .memory_tokens = it.spec.memory_tokens,
+                         .cold_per_second = it.cold.per_second,
+                         .cold_time = common::ToMicroseconds(it.cold.time),
+                         .cold_left = common::ToMicroseconds(std::max(
+                             it.cold_until - now, common::Duration(0))),
                          .in_progress = numbers == in_progress.end()
                                             ? std::vector<std::uint64_t>()
                                             : numbers->second,
--- a/Source/Core/Gateway/SchedulerClient.h
+++ b/Source/Core/Gateway/SchedulerClient.h
@@ -11,6 +11,7 @@
 #include "Balancing/ServiceAccounting.h"
 #include "Catalogue/Model.h"
 #include "Common/Clock.h"
+#include "Pacing/ColdStarts.h"
 #include "Protocol/SchedulingMessages.h"
 
 namespace shallotbeam::gateway {
@@ -65,7 +66,8 @@
   // scheduler runs on the same host.
   void PutEngine(const common::UpstreamName& upstream,
                  const std::string& address, std::uint64_t started,
-                 const catalogue::Engine& engine);
+                 const catalogue::Engine& engine,
+                 const pacing::ColdLimit& cold);
   void RemoveEngine(const common::UpstreamName& upstream);
 
   // Service rate of the whole fleet in tokens per second; absent if not known.
@@ -95,6 +97,9 @@
   void ReportProgress(const StartGrant& grant, protocol::StartStage stage);
   // Sends the report to a few schedulers, which pass it on to all gateways.
   void SendCrashReport(const protocol::CrashReport& report);
+  // Tells the scheduler of an engine, at the next tick, until when it is cold.
+  void SetColdUntil(const common::UpstreamName& upstream,
+                    common::TimePoint until);
   // Marks an engine that states a limit of requests a second.
   void SetLimited(const common::UpstreamName& upstream, bool limited);
   // Tells the scheduler of an engine what this gateway knows of its limit.
@@ -117,6 +122,8 @@
     common::Endpoint control;
     std::uint64_t started = 0;
     catalogue::Engine spec;
+    pacing::ColdLimit cold;
+    common::TimePoint cold_until;
   };
 
   void ExecuteActions(const balancing::SearchActions& actions);
--- a/Source/Core/Protocol/SchedulingMessages.h
+++ b/Source/Core/Protocol/SchedulingMessages.h
@@ -33,6 +33,11 @@
   std::uint64_t upstream_started = 0;
   int slots = 0;
   double memory_tokens = 0;
+  // Requests a second that the engine takes from all hosts together while it is
+  // cold; 0 if there is no limit.
+  double cold_per_second = 0;
+  std::chrono::microseconds cold_time{0};  // after its start
+  std::chrono::microseconds cold_left{0};  // as the gateway knows
   // Numbers of the offers whose requests are in progress; all other requests
   // have ended.
   std::vector<std::uint64_t> in_progress;
--- a/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
@@ -71,6 +71,7 @@
     scheduling::OnRejectedWithoutOffer(scheduler_, it.workspace, it.requested);
   }
   if (!UpdateEngineIncarnation(gateway_report, now)) return;
+  RecordCold(gateway_report);
   scheduling::SetCapacity(scheduler_,
                           {.slots = gateway_report.slots,
                            .memory_tokens = gateway_report.memory_tokens});
@@ -98,6 +99,7 @@
   // The next report of the engine states its limit again.
   permit_desk_.limits.limits.erase(upstream_);
   scheduling::SetRateLimit(scheduler_, now, std::nullopt);
+  limit_in_force_.reset();
   upstream_ = gateway_report.upstream;
   upstream_started_ = gateway_report.upstream_started;
   return true;
@@ -209,6 +211,7 @@
 
 void SchedulerDriver::OnTick() {
   const common::TimePoint now = environment_.clock.Now();
+  ApplyLimit();
   scheduling::Replies replies;
   scheduling::OnTick(scheduler_, now, &replies);
   SendReplies(replies);
--- a/Source/Core/SchedulerRuntime/SchedulerDriver.h
+++ b/Source/Core/SchedulerRuntime/SchedulerDriver.h
@@ -8,6 +8,7 @@
 
 #include "Common/Clock.h"
 #include "Common/Types.h"
+#include "Pacing/ColdStarts.h"
 #include "Pacing/PermitDesk.h"
 #include "Protocol/SchedulingMessages.h"
 #include "SchedulerRuntime/SchedulerMetrics.h"
@@ -24,6 +25,8 @@
   // Requests a second that it takes from all hosts together; absent if it
   // states no limit.
   std::optional<double> rate_limit;
+  // Start of the engine as it states itself; absent if it does not.
+  std::optional<std::uint64_t> started;
 };
 
 struct SchedulerEnvironment {
@@ -80,6 +83,12 @@
   void OnReport(const scheduling::EngineReport& report);
   // Merges a statement of the engine's limit and applies what holds.
   void RecordEngineLimit(const pacing::StatedLimit& limit);
+  // Records what a gateway says of the engine while it is cold.
+  void RecordCold(const protocol::GatewayReport& gateway_report);
+  // The engine was started anew, as its own report shows.
+  void OnEngineStart(std::uint64_t started);
+  // Applies the lower one of the stated limit and that of a cold engine.
+  void ApplyLimit();
   // Limits of this engine and of the upstreams whose permit desk this is.
   std::vector<protocol::LimitRow> LimitRows() const;
   // Gateways heard from; 0 if some may not have been heard from yet.
@@ -111,6 +120,11 @@
   common::TimePoint started_;
   // Knows the limit of the engine too.
   pacing::PermitDesk permit_desk_;
+  pacing::ColdLimit cold_limit_;
+  pacing::ColdPeriod cold_;
+  // Start that the engine's last report stated.
+  std::optional<std::uint64_t> reported_start_;
+  std::optional<double> limit_in_force_;
   common::UpstreamName upstream_;
   std::uint64_t upstream_started_ = 0;
   // When a gateway last reported the current engine.
--- a/Source/Core/SchedulerRuntime/SchedulerLimits.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerLimits.cpp
@@ -1,3 +1,6 @@
+#include <cmath>
+#include <utility>
+
 #include "Common/Logging.h"
 #include "SchedulerRuntime/SchedulerDriver.h"
 
@@ -19,17 +22,52 @@
                      .per_second = status.rate_limit,
                      .sent = now - call_time,
                      .received = now});
+  if (status.started) OnEngineStart(*status.started);
   OnReport(status.load);
 }
 
+void SchedulerDriver::OnEngineStart(std::uint64_t started) {
+  const auto previous = std::exchange(reported_start_, started);
+  if (!previous || *previous >= started) return;
+  pacing::Extend(cold_, {.started = started,
+                         .until = environment_.clock.Now() + cold_limit_.time});
+  ApplyLimit();
+}
+
+void SchedulerDriver::RecordCold(
+    const protocol::GatewayReport& gateway_report) {
+  const common::TimePoint now = environment_.clock.Now();
+  const bool valid = std::isfinite(gateway_report.cold_per_second) &&
+                     gateway_report.cold_per_second >= 0;
+  if (!valid) return;
+  cold_limit_ = {.per_second = gateway_report.cold_per_second,
+                 .time = pacing::ClampColdTime(gateway_report.cold_time)};
+  const common::Duration left = pacing::ClampColdTime(gateway_report.cold_left);
+  if (left > common::Duration(0)) {
+    pacing::Extend(cold_, {.started = gateway_report.upstream_started,
+                           .until = now + left});
+  }
+  ApplyLimit();
+}
+
 void SchedulerDriver::RecordEngineLimit(const pacing::StatedLimit& limit) {
   pacing::LimitTable& limits = permit_desk_.limits;
   if (!pacing::Record(limits, upstream_, limit)) return;
-  const auto in_force = pacing::LimitOf(limits, upstream_);
+  ApplyLimit();
+}
+
+void SchedulerDriver::ApplyLimit() {
+  const common::TimePoint now = environment_.clock.Now();
+  const auto cold = pacing::ColdRate(cold_limit_, cold_, now);
+  const auto in_force =
+      pacing::LowerLimit(pacing::LimitOf(permit_desk_.limits, upstream_), cold);
+  if (in_force == limit_in_force_) return;
+  limit_in_force_ = in_force;
   Log(Subsystem::kMembership, LogLevel::kInfo,
-      "event=engine_limit upstream={} rate_limit={}", upstream_.value,
-      in_force.value_or(-1));
-  scheduling::SetRateLimit(scheduler_, environment_.clock.Now(), in_force);
+      "event=engine_limit upstream={} rate_limit={} cold_ms={}",
+      upstream_.value, in_force.value_or(-1),
+      cold ? (cold_.until - now) / std::chrono::milliseconds(1) : 0);
+  scheduling::SetRateLimit(scheduler_, now, in_force);
 }
 
 void SchedulerDriver::HandleMessage(
--- a/Source/Core/Wire/Fields.h
+++ b/Source/Core/Wire/Fields.h
@@ -82,7 +82,8 @@
 }
 auto Fields(MaybeConst<protocol::GatewayReport> auto& it) {
   return std::tie(it.control, it.upstream, it.upstream_started, it.slots,
-                  it.memory_tokens, it.in_progress, it.not_offered);
+                  it.memory_tokens, it.cold_per_second, it.cold_time,
+                  it.cold_left, it.in_progress, it.not_offered);
 }
 auto Fields(MaybeConst<protocol::SchedulerReport> auto& it) {
   return std::tie(it.control, it.expected_wait, it.over_share_wait,
--- a/Source/UnitTests/Core/Balancing/UpstreamTableTest.cpp
+++ b/Source/UnitTests/Core/Balancing/UpstreamTableTest.cpp
@@ -66,6 +66,30 @@
   BOOST_CHECK(AcceptsWork(table.upstreams.at(kName)));
 }
 
+// Guards against requests to an evacuated data centre: also at an upstream that
+// appears later, and until the evacuation is taken back.
+BOOST_AUTO_TEST_CASE(EvacuatedDataCentreGetsNoWork) {
+  UpstreamTable table;
+  const common::DataCentreName place("a");
+  const common::UpstreamName later("later");
+  UpstreamEntry entry = EntryOf(1);
+  entry.data_centre = place;
+  PutEntry(table, kName, entry);
+  BOOST_CHECK_EQUAL(SetEvacuated(table, place, true).size(), 1);
+  BOOST_CHECK(SetEvacuated(table, place, true).empty());
+  PutEntry(table, kName, entry);
+  UpstreamEntry later_entry = entry;
+  later_entry.endpoint.port = 1;
+  PutEntry(table, later, later_entry);
+  BOOST_CHECK(!AcceptsWork(table.upstreams.at(kName)));
+  BOOST_CHECK(!AcceptsWork(table.upstreams.at(later)));
+  const common::DataCentreName other("b");
+  BOOST_CHECK(SetEvacuated(table, other, false).empty());
+  BOOST_CHECK_EQUAL(SetEvacuated(table, place, false).size(), 2);
+  BOOST_CHECK(AcceptsWork(table.upstreams.at(kName)));
+  BOOST_CHECK(AcceptsWork(table.upstreams.at(later)));
+}
+
 UpstreamEntry EntryIn(std::uint64_t era, std::uint64_t started,
                       bool draining = false) {
   UpstreamEntry entry = EntryOf(started, draining);
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.cpp
@@ -302,6 +302,10 @@
   const FleetChange& decoded = pending_.at(std::stoul(change.item.key));
   if (!change.removed) return decoded;
   if (decoded.catalogue) return std::nullopt;
+  if (decoded.evacuation) {
+    return FleetChange{.evacuation = EvacuationChange{
+                           .data_centre = decoded.evacuation->data_centre}};
+  }
   return FleetChange{.upstream = decoded.upstream};
 }
 
@@ -347,13 +351,23 @@
 void GatewayFixture::AddUpstream(const std::string& name,
                                  const common::Endpoint& endpoint,
                                  bool draining) {
-  Change({.upstream = common::UpstreamName(name),
-          .entry = balancing::UpstreamEntry{
-              .pool = common::PoolName("plain"),
-              .endpoint = endpoint,
-              .data_centre = common::DataCentreName("a"),
-              .draining = draining,
-              .started = 1}});
+  PutUpstream(name, {.pool = common::PoolName("plain"),
+                     .endpoint = endpoint,
+                     .data_centre = common::DataCentreName("a"),
+                     .draining = draining,
+                     .started = 1});
+}
+
+void GatewayFixture::PutUpstream(const std::string& name,
+                                 balancing::UpstreamEntry entry) {
+  Change({.upstream = common::UpstreamName(name), .entry = std::move(entry)});
+}
+
+void GatewayFixture::SetEvacuated(const std::string& data_centre,
+                                  bool requested) {
+  Change({.evacuation = EvacuationChange{
+              .data_centre = common::DataCentreName(data_centre),
+              .requested = requested}});
 }
 
 void GatewayFixture::RemoveUpstream(const std::string& name) {
--- a/Source/UnitTests/Core/Gateway/GatewayFixture.h
+++ b/Source/UnitTests/Core/Gateway/GatewayFixture.h
@@ -113,7 +113,9 @@
   // Puts an entry for an upstream of the pool "plain" into the store.
   void AddUpstream(const std::string& name, const common::Endpoint& endpoint,
                    bool draining = false);
+  void PutUpstream(const std::string& name, balancing::UpstreamEntry entry);
   void RemoveUpstream(const std::string& name);
+  void SetEvacuated(const std::string& data_centre, bool requested);
   void PutCatalogue(const catalogue::Catalogue& catalogue);
   void PutUnreadableConfiguration();
 
--- a/Source/UnitTests/Core/SchedulerRuntime/SchedulerDriverTest.cpp
+++ b/Source/UnitTests/Core/SchedulerRuntime/SchedulerDriverTest.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -184,6 +185,87 @@
   BOOST_CHECK_EQUAL(starts, 0);
 }
 
+// Number of starts granted in each full second while offers arrive at many
+// times the rate of a cold engine. `on_second` is called before each.
+std::vector<int> StartsUnderFlood(
+    Fixture& fixture, int seconds,
+    const std::function<void(int second)>& on_second) {
+  std::vector<int> starts;
+  for (int second = 0; second < seconds; ++second) {
+    on_second(second);
+    fixture.sent.clear();
+    for (int i = 0; i < 50; ++i) {
+      ++fixture.last_number;
+      fixture.Receive(protocol::StartOffer{.number = fixture.last_number,
+                                           .request_id = "r",
+                                           .prompt = {.prompt_tokens = 10},
+                                           .first = true,
+                                           .time_to_target = 1s,
+                                           .time_to_deadline = 2s});
+      fixture.clock.Advance(20ms);
+      fixture.driver.OnTick();
+      // Short requests, so that neither slots nor prefill limit the starts.
+      fixture.Receive(protocol::StartProgress{.number = fixture.last_number});
+    }
+    starts.push_back(0);
+    for (const auto& it : fixture.sent) {
+      const auto* reply = std::get_if<protocol::StartReply>(&it.body);
+      if (reply != nullptr &&
+          reply->decision == common::OfferDecision::kStart) {
+        ++starts.back();
+      }
+    }
+  }
+  return starts;
+}
+
+protocol::GatewayReport ColdReport(std::uint64_t started,
+                                   std::chrono::microseconds left) {
+  return {.upstream = kCurrentEngine,
+          .upstream_started = started,
+          .slots = 32,
+          .memory_tokens = 500'000,
+          .cold_per_second = 11,
+          .cold_time = 3s,
+          .cold_left = left};
+}
+
+// Load: all gateways send at once what waited while a data centre was away.
+// Guards against a cold engine that crashes under it, and against a limit that
+// outlasts the cold period.
+BOOST_AUTO_TEST_CASE(ColdEngineIsPaced) {
+  const auto starts = StartsUnderFlood(*this, 5, [this](int second) {
+    Receive(ColdReport(20, second == 0 ? 3'100ms : 0ms));
+  });
+  for (int i = 0; i < 3; ++i) {
+    BOOST_CHECK_LE(starts[i], 11);
+    BOOST_CHECK_GE(starts[i], 8);
+  }
+  BOOST_CHECK_GT(starts[4], 30);
+}
+
+// The same for an engine whose restart its own report shows before any gateway
+// knows of it.
+BOOST_AUTO_TEST_CASE(RestartedEngineIsPacedAtOnce) {
+  Receive(ColdReport(20, 0s));
+  driver.OnStatus({.started = 20}, 5ms);
+  const auto starts = StartsUnderFlood(*this, 3, [this](int second) {
+    if (second == 1) driver.OnStatus({.started = 30}, 5ms);
+    Receive(ColdReport(20, 0s));
+  });
+  BOOST_CHECK_GT(starts[0], 30);
+  BOOST_CHECK_LE(starts[2], 11);
+}
+
+// Guards against absurd figures of a gateway that stop all starts.
+BOOST_AUTO_TEST_CASE(AbsurdColdFiguresAreIgnored) {
+  auto report = ColdReport(20, 3s);
+  report.cold_per_second = -1;
+  const auto starts =
+      StartsUnderFlood(*this, 1, [&](int /*second*/) { Receive(report); });
+  BOOST_CHECK_GT(starts[0], 30);
+}
+
 // Guards against a permit desk that grants more than its part of the limit.
 BOOST_AUTO_TEST_CASE(PermitsStayWithinTheLimit) {
   constexpr double kLimit = 10;
--- a/Source/UnitTests/Core/Wire/SchedulingCodecTest.cpp
+++ b/Source/UnitTests/Core/Wire/SchedulingCodecTest.cpp
@@ -46,6 +46,23 @@
   BOOST_CHECK_EQUAL(offer.recent_service, 1.5);
 }
 
+// Guards against a cold engine that its scheduler does not hear of.
+BOOST_AUTO_TEST_CASE(GatewayReportSurvivesARoundTrip) {
+  const auto decoded = DecodeScheduling(Encode(protocol::SchedulingEnvelope{
+      .body = protocol::GatewayReport{.upstream_started = 5,
+                                      .cold_per_second = 11,
+                                      .cold_time = 3s,
+                                      .cold_left = 2s,
+                                      .in_progress = {4}}}));
+  BOOST_REQUIRE(decoded.ok());
+  const auto& report = std::get<protocol::GatewayReport>(decoded->body);
+  BOOST_CHECK_EQUAL(report.upstream_started, 5);
+  BOOST_CHECK_EQUAL(report.cold_per_second, 11);
+  BOOST_CHECK(report.cold_time == 3s);
+  BOOST_CHECK(report.cold_left == 2s);
+  BOOST_CHECK_EQUAL(report.in_progress.size(), 1);
+}
+
 BOOST_AUTO_TEST_CASE(CrashReportSurvivesARoundTrip) {
   const protocol::CrashReport report{
       .rows = {{.trait = {.fingerprint = static_cast<common::Fingerprint>(7)},
--- a/Source/UnitTests/Platform/StoreItemsTest.cpp
+++ b/Source/UnitTests/Platform/StoreItemsTest.cpp
@@ -67,6 +67,32 @@
   BOOST_CHECK(catalogue.workspaces[0].priority == 2);
 }
 
+// Guards against a cold upstream that counts as warm, and against an operator's
+// request that is overlooked.
+BOOST_AUTO_TEST_CASE(ColdUpstreamsAndEvacuationsAreDecoded) {
+  std::string text = kConfiguration;
+  const std::string pool = R"({"name": "pool",)";
+  text.replace(text.find(pool), pool.size(),
+               pool + R"("coldStartS": 2.5, "coldPerS": 11.0,)");
+  const auto change = Decode("op/config", text);
+  BOOST_REQUIRE(change && change->catalogue);
+  const auto& pools = change->catalogue->pools;
+  BOOST_CHECK_EQUAL(pools.at(common::PoolName("pool")).cold.per_second, 11);
+  BOOST_CHECK(pools.at(common::PoolName("pool")).cold.time == 2'500ms);
+  BOOST_CHECK_EQUAL(pools.at(common::PoolName("plain")).cold.per_second, 0);
+
+  const auto evacuation = Decode("op/evacuate/b", "{}");
+  BOOST_REQUIRE(evacuation && evacuation->evacuation);
+  BOOST_CHECK(evacuation->evacuation->requested);
+  BOOST_CHECK_EQUAL(evacuation->evacuation->data_centre.value, "b");
+  BOOST_CHECK(!evacuation->configuration_unreadable);
+  const auto end =
+      DecodeItem({.item = {.key = "op/evacuate/b"}, .removed = true});
+  BOOST_REQUIRE(end && end->evacuation);
+  BOOST_CHECK(!end->evacuation->requested);
+  BOOST_CHECK(!Decode("op/evacuate/", "{}"));
+}
+
 // Whether the text is reported as a configuration that can't be read.
 bool IsUnreadable(const std::string& text) {
   const auto change = Decode("op/config", text);
