Pace cold engines also through restarts of schedulers and old reports

Cause (found in review): a permit search that outlasted a cold period hung, the limit of a cold upstream spread as a stated one, and a scheduler that started with its engine took it for warm. Change: such searches are granted, desks' copies of the cold limit aren't recorded, the engine's own start counts against what gateways report, and reports without a limit don't end a cold period. The message format is 2.

--- a/Source/Core/Gateway/GatewayColdStarts.cpp
+++ b/Source/Core/Gateway/GatewayColdStarts.cpp
@@ -55,9 +55,9 @@
 }
 
 void Gateway::TellOfCold(const common::UpstreamName& name) {
+  scheduler_client_.SetLimited(name, LimitInForce(name).has_value());
   if (!ColdRate(name)) return;
   scheduler_client_.SetColdUntil(name, cold_.at(name).until);
-  scheduler_client_.SetLimited(name, true);
 }
 
 std::optional<double> Gateway::ColdRate(
--- a/Source/Core/Gateway/GatewayPermits.cpp
+++ b/Source/Core/Gateway/GatewayPermits.cpp
@@ -87,7 +87,11 @@
   const common::UpstreamName& name = call->second->permit_upstream;
   const auto upstream = upstreams_.upstreams.find(name);
   const auto in_force = LimitInForce(name);
-  if (upstream == upstreams_.upstreams.end() || !in_force) return;
+  if (upstream == upstreams_.upstreams.end() || !in_force) {
+    // The limit has ended; SendTo() checks the upstream again.
+    pacing::CancelPermit(permits_, action.id);
+    return Execute(pacing::PermitGranted{.id = action.id});
+  }
   const auto stated = stated_limits_.limits.find(name);
   const bool is_stated = stated != stated_limits_.limits.end() &&
                          stated->second.per_second == in_force;
--- a/Source/Core/Gateway/GatewayStatements.cpp
+++ b/Source/Core/Gateway/GatewayStatements.cpp
@@ -78,6 +78,9 @@
                        it->second.entry.started == row.started;
   const auto limit = pacing::FromRow(row, Now());
   if (!current || !limit) return;
+  // A permit desk repeats the limit of a cold upstream, which the upstream has
+  // not stated.
+  if (limit->per_second && limit->per_second == ColdRate(row.upstream)) return;
   reported_limits_[row.upstream] = {.per_second = row.per_second,
                                     .time = Now()};
   RecordLimit(row.upstream, *limit);
--- a/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
@@ -96,6 +96,10 @@
       gateway_report.upstream.value, gateway_report.upstream_started,
       gateway_report.slots);
   if (!upstream_.empty()) scheduling::ResetEngine(scheduler_);
+  if (!upstream_.empty() && gateway_report.upstream != upstream_) {
+    cold_ = {};
+    reported_start_.reset();
+  }
   // The next report of the engine states its limit again.
   permit_desk_.limits.limits.erase(upstream_);
   scheduling::SetRateLimit(scheduler_, now, std::nullopt);
--- a/Source/Core/SchedulerRuntime/SchedulerLimits.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerLimits.cpp
@@ -28,7 +28,9 @@
 
 void SchedulerDriver::OnEngineStart(std::uint64_t started) {
   const auto previous = std::exchange(reported_start_, started);
-  if (!previous || *previous >= started) return;
+  // After a restart of this process, what gateways know tells a new start.
+  const std::uint64_t known = previous.value_or(upstream_started_);
+  if (known == 0 || known >= started) return;
   pacing::Extend(cold_, {.started = started,
                          .until = environment_.clock.Now() + cold_limit_.time});
   ApplyLimit();
@@ -40,9 +42,19 @@
   const bool valid = std::isfinite(gateway_report.cold_per_second) &&
                      gateway_report.cold_per_second >= 0;
   if (!valid) return;
-  cold_limit_ = {.per_second = gateway_report.cold_per_second,
-                 .time = pacing::ClampColdTime(gateway_report.cold_time)};
+  // A gateway with an older configuration may state no limit.
+  const bool has_limit = gateway_report.cold_per_second > 0;
+  if (has_limit || now >= cold_.until) {
+    cold_limit_ = {.per_second = gateway_report.cold_per_second,
+                   .time = pacing::ClampColdTime(gateway_report.cold_time)};
+  }
   const common::Duration left = pacing::ClampColdTime(gateway_report.cold_left);
+  const bool restarted =
+      reported_start_ && *reported_start_ > gateway_report.upstream_started;
+  if (restarted && cold_.started < *reported_start_) {
+    pacing::Extend(
+        cold_, {.started = *reported_start_, .until = now + cold_limit_.time});
+  }
   if (left > common::Duration(0)) {
     pacing::Extend(cold_, {.started = gateway_report.upstream_started,
                            .until = now + left});
--- a/Source/Core/Wire/Codec.h
+++ b/Source/Core/Wire/Codec.h
@@ -15,7 +15,7 @@
 namespace shallotbeam::wire {
 
 // Format version. Must be incremented with every change of the messages.
-inline constexpr int kFormat = 1;
+inline constexpr int kFormat = 2;
 
 std::string Encode(const protocol::Envelope& envelope);
 
--- a/Source/UnitTests/Core/Gateway/ColdStartsTest.cpp
+++ b/Source/UnitTests/Core/Gateway/ColdStartsTest.cpp
@@ -121,6 +121,41 @@
   BOOST_CHECK_LE(back.Requests().size(), 1);
 }
 
+// Guards against a call that hangs, or a limit that stays, because the cold
+// period ends while a permit desk is asked.
+BOOST_AUTO_TEST_CASE(PermitSearchOutlastsTheColdPeriod) {
+  const common::Endpoint desk{.address = "127.0.0.9", .port = 8083};
+  GatewayFixture fleet(false, {desk});
+  fleet.catalogue.version = static_cast<common::ConfigVersion>(2);
+  fleet.catalogue.pools[common::PoolName("plain")].cold = {.per_second = 11,
+                                                           .time = 3s};
+  fleet.PutCatalogue(fleet.catalogue);
+  FakeUpstream upstream(fleet.context, RespondDone);
+  fleet.PutUpstream("u", {.pool = common::PoolName("plain"),
+                          .endpoint = upstream.Endpoint(),
+                          .started = 1,
+                          .cold_left = 1s});
+  Caller caller(fleet.context, fleet.gateway->CallersPort());
+  caller.Send(GatewayFixture::Request("/order/"));
+  fleet.RunPending();
+  const auto requests = fleet.SentBodies<protocol::PermitRequest>();
+  BOOST_REQUIRE(!requests.empty());
+  BOOST_CHECK_EQUAL(requests.back().limit.per_second, 11);
+  fleet.gateway->OnControlMessage(wire::Encode(protocol::SchedulingEnvelope{
+      .sender = common::ProcessName("desk"),
+      .body = protocol::PermitReply{.number = requests.back().number,
+                                    .granted = true,
+                                    .limit = requests.back().limit}}));
+  fleet.RunUntil([&] { return !caller.Received().empty(); });
+  BOOST_CHECK(Contains(caller.Received(), "200"));
+  fleet.Advance(2s);
+  fleet.sent_messages.clear();
+  for (int i = 0; i < 3; ++i) {
+    BOOST_CHECK(Contains(fleet.Exchange("/order/"), "200"));
+  }
+  BOOST_CHECK(fleet.SentBodies<protocol::PermitRequest>().empty());
+}
+
 // Guards against a limit where the configuration states none.
 BOOST_AUTO_TEST_CASE(ColdUpstreamWithoutALimitServes) {
   FakeUpstream cold(context, RespondDone);
--- a/Source/UnitTests/Core/SchedulerRuntime/SchedulerDriverTest.cpp
+++ b/Source/UnitTests/Core/SchedulerRuntime/SchedulerDriverTest.cpp
@@ -257,6 +257,20 @@
   BOOST_CHECK_LE(starts[2], 11);
 }
 
+// The same for a scheduler that starts together with its engine, while gateways
+// know the earlier one, and beside a gateway with an older configuration.
+BOOST_AUTO_TEST_CASE(EngineThatStartsWithItsSchedulerIsPaced) {
+  Receive(ColdReport(20, 0s));
+  driver.OnStatus({.started = 30}, 5ms);
+  const auto starts = StartsUnderFlood(*this, 2, [this](int /*second*/) {
+    auto older = ColdReport(20, 0s);
+    older.cold_per_second = 0;
+    Receive(older);
+    Receive(ColdReport(20, 0s));
+  });
+  BOOST_CHECK_LE(starts[1], 11);
+}
+
 // Guards against absurd figures of a gateway that stop all starts.
 BOOST_AUTO_TEST_CASE(AbsurdColdFiguresAreIgnored) {
   auto report = ColdReport(20, 3s);
