--- a/Source/Core/Gateway/GatewayStatements.cpp
+++ b/Source/Core/Gateway/GatewayStatements.cpp
@@ -60,7 +60,7 @@
                           const pacing::StatedLimit& limit) {
   if (!pacing::Record(stated_limits_, name, limit)) return;
   const pacing::StatedLimit& in_force = stated_limits_.limits.at(name);
-  scheduler_client_.SetLimited(name, in_force.per_second.has_value());
+  scheduler_client_.SetLimited(name, LimitInForce(name).has_value());
   scheduler_client_.SendLimit(pacing::ToRow(name, in_force, Now()));
   Log(Subsystem::kMembership, LogLevel::kInfo,
       "event=upstream_limit upstream={} rate_limit={}", name.value,
@@ -78,6 +78,9 @@
                        it->second.entry.started == row.started;
   const auto limit = pacing::FromRow(row, Now());
   if (!current || !limit) return;
+  // A permit desk repeats the limit of a cold upstream, which the upstream has
+  // not stated.
+  if (limit->per_second && limit->per_second == ColdRate(row.upstream)) return;
   reported_limits_[row.upstream] = {.per_second = row.per_second,
                                     .time = Now()};
   RecordLimit(row.upstream, *limit);
