--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -12,6 +12,8 @@
 constexpr int kLargestMaxOffers = 100;
 constexpr int kMinDescriptors = 64;
 constexpr int kMaxDescriptors = 1'048'576;
+constexpr int kMinMemoryMb = 16;
+constexpr int kMaxMemoryMb = 1'048'576;
 
 }  // namespace
 
@@ -80,6 +82,8 @@
       settings::Number("max-descriptors", "file descriptors of this process",
                        kMinDescriptors, kMaxDescriptors,
                        &target->max_descriptors),
+      settings::Number("memory-mb", "memory that this process may use, in MiB",
+                       kMinMemoryMb, kMaxMemoryMb, &target->memory_mb),
       Milliseconds("away-penalty-ms",
                    "wait that is accepted at the engine with the cached prompt "
                    "before another is preferred",
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -36,6 +36,7 @@
   // A stopped process is killed after this time.
   std::chrono::milliseconds stop_limit{8'000};
   int max_descriptors = 2'870;
+  int memory_mb = 512;  // of the host, for this process
 
   // Trade-off between the engine that caches the prompt and a shorter wait at
   // another one; see balancing::PlacementSearchOptions.
