Bound the sum of what a gateway holds for its callers

Cause: bodies of legal size, read-ahead, copies of requests and buffered responses had limits each, but their sum had none. Change: one account of bytes for each gateway, a quarter of the memory that the settings state. When it is used up, requests that are still arriving give way, much larger ones first, then stalled ones. Bodies are no longer copied when they are sent, and closed or refused connections free their buffers at once.

--- a/Source/Core/Forwarding/CallerConnection.cpp
+++ b/Source/Core/Forwarding/CallerConnection.cpp
@@ -22,6 +22,15 @@
 // Limit for buffered bytes of a caller that keeps sending while its request is
 // served.
 constexpr std::size_t kMaxReadAhead = 65'536;
+// The same while memory is tight.
+constexpr std::size_t kTightReadAhead = 8'192;
+// A request that holds at most this much is received whatever the others hold;
+// the number of connections bounds the sum.
+constexpr std::size_t kMinRequestBytes = 16'384;
+// Memory for a body is allocated in steps of at least this size.
+constexpr std::size_t kMinBodyCapacity = 4'096;
+// Buffers beyond this size are freed when they are empty.
+constexpr std::size_t kMaxIdleBuffer = 16'384;
 // Time for the caller to receive the last response before the connection is
 // closed.
 constexpr common::Duration kLingerTime = std::chrono::seconds(1);
@@ -36,6 +45,10 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kUnavailable = 503;
+
+// Another entry host may have the memory.
+constexpr std::string_view kNoMemoryHeaders = "Retry-After: 1.000\r\n";
 
 int StatusOf(error_code ec) {
   if (ec == http::error::header_limit) return kHeadersTooLarge;
@@ -50,7 +63,9 @@
       options_(options),
       opened_(options.clock.Now()),
       state_since_(opened_),
-      last_progress_(state_since_) {}
+      last_progress_(state_since_),
+      buffer_memory_(options.memory),
+      body_memory_(options.memory) {}
 
 void CallerConnection::Start() {
   error_code ec;
@@ -88,7 +103,7 @@
 
 void CallerConnection::Read() {
   if (reading_ || state_ == State::kClosed) return;
-  if (input_.size() > kMaxReadAhead && state_ == State::kServing) return;
+  if (input_.size() > MaxReadAhead() && state_ == State::kServing) return;
   reading_ = true;
   socket_.async_read_some(
       net::buffer(read_buffer_),
@@ -106,6 +121,69 @@
   if (state_ == State::kLingering) return;
   input_.append(read_buffer_.data(), n);
   if (state_ != State::kServing) ParseInput();
+  CountBuffers();
+  if (PartialBytes() > 0 && !MayHold(0)) RefuseForMemory();
+}
+
+std::size_t CallerConnection::MaxReadAhead() const {
+  const bool tight =
+      options_.memory != nullptr && overload::IsTight(*options_.memory);
+  return tight ? kTightReadAhead : kMaxReadAhead;
+}
+
+std::size_t CallerConnection::PartialBytes() const {
+  if (state_ != State::kReading) return 0;
+  return input_.capacity() + body_memory_.Bytes();
+}
+
+bool CallerConnection::MayHold(std::size_t bytes) {
+  if (options_.memory == nullptr) return true;
+  if (overload::HasRoom(*options_.memory, bytes)) return true;
+  const std::size_t own = PartialBytes();
+  return (options_.make_room && options_.make_room(bytes, own)) ||
+         own + bytes <= kMinRequestBytes;
+}
+
+// A string that grows by itself doubles its capacity. A stated length is not
+// allocated before its bytes arrive, but it bounds the capacity.
+bool CallerConnection::ReserveBody() {
+  std::string& body = parser_->get().body();
+  const auto left = parser_->content_length_remaining();
+  const std::size_t arrived =
+      left ? std::min<std::size_t>(input_.size(), *left) : input_.size();
+  const std::size_t needed = body.size() + arrived;
+  if (needed <= body.capacity()) return true;
+  const std::size_t longest =
+      left ? body.size() + *left : options_.limits.body_bytes;
+  const std::size_t doubled =
+      std::max<std::size_t>(2 * body.capacity(), kMinBodyCapacity);
+  const std::size_t capacity = std::max(needed, std::min(doubled, longest));
+  if (!MayHold(capacity - body.capacity())) return false;
+  std::string larger;
+  larger.reserve(capacity);
+  larger.append(body);
+  body.swap(larger);
+  body_memory_.Set(body.capacity());
+  return true;
+}
+
+void CallerConnection::CountBuffers() {
+  if (input_.empty() && input_.capacity() > kMaxIdleBuffer) input_ = {};
+  if (output_.empty() && output_.capacity() > kMaxIdleBuffer) output_ = {};
+  buffer_memory_.Set(input_.capacity() + output_.capacity());
+}
+
+void CallerConnection::FreeBuffers() {
+  parser_.reset();
+  input_ = {};
+  body_memory_.Set(0);
+  CountBuffers();
+}
+
+void CallerConnection::RefuseForMemory() {
+  if (state_ != State::kReading) return;
+  options_.handler.OnNoMemory(PartialBytes());
+  Reject(kUnavailable, kNoMemoryHeaders);
 }
 
 void CallerConnection::ParseInput() {
@@ -121,6 +199,7 @@
           static_cast<std::uint32_t>(options_.limits.header_bytes));
       parser_->body_limit(options_.limits.body_bytes);
     }
+    if (parser_->is_header_done() && !ReserveBody()) return RefuseForMemory();
     error_code ec;
     // The head is parsed alone first, because its framing headers determine the
     // body.
@@ -168,18 +247,21 @@
                         .target = std::string(target),
                         .host = std::string(message[http::field::host]),
                         .body = std::move(message.body()),
-                        .arrived = state_since_};
+                        .arrived = state_since_,
+                        .memory = std::move(body_memory_)};
+  body_memory_ = overload::MemoryCharge(options_.memory);
   request.fields = std::move(message.base());
   parser_.reset();
   options_.handler.OnRequest(shared_from_this(), std::move(request));
 }
 
-void CallerConnection::Reject(int status) {
+void CallerConnection::Reject(int status, std::string_view headers) {
   keep_alive_ = false;
+  FreeBuffers();
   state_ = State::kServing;
   head_sent_ = false;
-  options_.handler.OnMalformed(status);
-  Send(status, "", "");
+  if (status != kUnavailable) options_.handler.OnMalformed(status);
+  Send(status, headers, "");
 }
 
 bool CallerConnection::ClosesAfterResponse() const {
@@ -255,7 +337,7 @@
   if (state_ == State::kClosed) return;
   if (awaiting_writable_) {
     output_.append(bytes);
-    return;
+    return CountBuffers();
   }
   if (!output_.empty()) {
     output_.append(bytes);
@@ -269,6 +351,7 @@
   if (ec && ec != net::error::would_block) return Close();
   if (n == bytes.size()) return;
   output_.assign(bytes.substr(n));
+  CountBuffers();
   AwaitWritable();
 }
 
@@ -278,6 +361,7 @@
   const std::size_t n = socket_.write_some(net::buffer(output_), ec);
   if (ec && ec != net::error::would_block) return Close();
   output_.erase(0, n);
+  CountBuffers();
   if (!output_.empty()) AwaitWritable();
 }
 
@@ -339,6 +423,8 @@
   }
   state_ = State::kClosed;
   socket_.close(ec);
+  output_ = {};
+  FreeBuffers();
   const CallerCallbacks callbacks = std::exchange(callbacks_, {});
   if (unanswered && callbacks.on_disconnected) callbacks.on_disconnected();
 }
--- a/Source/Core/Forwarding/CallerConnection.h
+++ b/Source/Core/Forwarding/CallerConnection.h
@@ -16,6 +16,7 @@
 #include "Forwarding/AppendingBody.h"
 #include "Forwarding/Framing.h"
 #include "Forwarding/HeaderCodec.h"
+#include "Overload/MemoryBudget.h"
 
 namespace shallotbeam::forwarding {
 
@@ -25,7 +26,8 @@
   std::string host;
   Fields fields;
   std::string body;
-  common::TimePoint arrived;  // when its last byte was read
+  common::TimePoint arrived;      // when its last byte was read
+  overload::MemoryCharge memory;  // of the body
 };
 
 class CallerConnection;
@@ -41,6 +43,9 @@
                          CallerRequest request) = 0;
   // A request was malformed and was rejected with `status`.
   virtual void OnMalformed(int status) = 0;
+  // A request of which `bytes` had arrived was refused, because the memory for
+  // callers is used up.
+  virtual void OnNoMemory(std::size_t /*bytes*/) {}
 };
 
 // Callbacks for a request that awaits its response.
@@ -60,6 +65,12 @@
     // so that callers spread again over entry hosts (hosts that run a gateway)
     // that have recovered.
     common::Duration max_age = std::chrono::seconds(5);
+    // Counts what the connection holds, if set.
+    std::shared_ptr<overload::MemoryBudget> memory;
+    // Makes room for `bytes` more in the budget at the expense of other
+    // connections, on behalf of a request for which `own` bytes are held.
+    // Returns whether there is room.
+    std::function<bool(std::size_t bytes, std::size_t own)> make_room;
   };
 
   CallerConnection(boost::asio::ip::tcp::socket socket, Options options);
@@ -94,6 +105,12 @@
   // read or not, or a response is not sent yet.
   bool HasUnansweredBytes();
 
+  // Bytes of a request that is being received; 0 if there is none.
+  std::size_t PartialBytes() const;
+  common::TimePoint LastProgress() const { return last_progress_; }
+  // Refuses the request that is being received and frees what is held for it.
+  void RefuseForMemory();
+
   // Closes the connection after the current response or, if it is idle, after
   // the next one.
   void CloseAfterNextResponse() { close_when_idle_ = true; }
@@ -120,7 +137,15 @@
   void OnParsed();
   // Whether the request takes longer to arrive than a slow caller needs.
   bool IsRequestLate(common::TimePoint now) const;
-  void Reject(int status);
+  void Reject(int status, std::string_view headers = "");
+  // Allocates memory for the body bytes that were read. Returns false if the
+  // budget does not allow it.
+  bool ReserveBody();
+  // Whether the request that is being received may hold `bytes` more.
+  bool MayHold(std::size_t bytes);
+  std::size_t MaxReadAhead() const;
+  void CountBuffers();
+  void FreeBuffers();
   // Whether the connection is closed after the current response.
   bool ClosesAfterResponse() const;
   void AppendFraming(std::string* head);
@@ -146,6 +171,8 @@
   common::TimePoint opened_;
   common::TimePoint state_since_;
   common::TimePoint last_progress_;
+  overload::MemoryCharge buffer_memory_;
+  overload::MemoryCharge body_memory_;  // of the request being read
   bool reading_ = false;
   bool awaiting_writable_ = false;
   bool head_sent_ = false;
--- a/Source/Core/Forwarding/CallerServer.cpp
+++ b/Source/Core/Forwarding/CallerServer.cpp
@@ -27,11 +27,35 @@
 
 CallerServer::CallerServer(net::io_context& context,
                            CallerConnection::Options options,
-                           std::size_t max_connections)
-    : options_(options),
+                           std::size_t max_connections,
+                           overload::MemoryBudgetOptions memory)
+    : memory_(std::make_shared<overload::MemoryBudget>(
+          overload::MemoryBudget{.options = memory})),
+      options_(std::move(options)),
       max_connections_(max_connections),
       acceptor_(context),
-      accept_retry_timer_(context) {}
+      accept_retry_timer_(context) {
+  options_.memory = memory_;
+  options_.make_room = [this](std::size_t bytes, std::size_t own) {
+    return MakeRoom(bytes, own);
+  };
+}
+
+bool CallerServer::MakeRoom(std::size_t bytes, std::size_t own) {
+  while (!overload::HasRoom(*memory_, bytes)) {
+    std::vector<overload::PartialMessage> messages;
+    messages.reserve(connections_.size());
+    for (const auto& it : connections_) {
+      messages.push_back(
+          {.bytes = it->PartialBytes(), .last_progress = it->LastProgress()});
+    }
+    const auto victim =
+        overload::PickVictim(messages, own, options_.clock.Now());
+    if (!victim) return false;
+    connections_[*victim]->RefuseForMemory();
+  }
+  return true;
+}
 
 absl::Status CallerServer::Listen(const common::Endpoint& endpoint) {
   endpoint_ = endpoint;
--- a/Source/Core/Forwarding/CallerServer.h
+++ b/Source/Core/Forwarding/CallerServer.h
@@ -17,7 +17,8 @@
 class CallerServer {
  public:
   CallerServer(boost::asio::io_context& context,
-               CallerConnection::Options options, std::size_t max_connections);
+               CallerConnection::Options options, std::size_t max_connections,
+               overload::MemoryBudgetOptions memory = {});
 
   // Returns kUnavailable if the address can't be bound.
   absl::Status Listen(const common::Endpoint& endpoint);
@@ -45,6 +46,10 @@
   // file descriptors left.
   bool IsHalfFull() const { return connections_.size() * 2 > max_connections_; }
   std::uint16_t Port() const { return endpoint_.port; }
+  // Counts all that is held for callers.
+  const std::shared_ptr<overload::MemoryBudget>& Memory() const {
+    return memory_;
+  }
 
  private:
   absl::Status Open();
@@ -55,10 +60,15 @@
   // reset them although their requests may have arrived.
   void AcceptPending();
   void Add(boost::asio::ip::tcp::socket socket);
+  // Refuses requests that are being received until `bytes` more fit into the
+  // memory budget, if any of them holds much more than `own` bytes or stalls.
+  // Returns whether they fit.
+  bool MakeRoom(std::size_t bytes, std::size_t own);
   // Whether another connection is allowed.
   bool HasRoom();
   void RemoveClosed();
 
+  std::shared_ptr<overload::MemoryBudget> memory_;
   CallerConnection::Options options_;
   std::size_t max_connections_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/Source/Core/Forwarding/UpstreamConnection.cpp
+++ b/Source/Core/Forwarding/UpstreamConnection.cpp
@@ -90,9 +90,12 @@
 
 void UpstreamConnection::SendRequest() {
   error_code ec;
-  const std::size_t n = socket_.write_some(
-      net::buffer(request_.bytes.data() + sent_, request_.bytes.size() - sent_),
-      ec);
+  const std::size_t head_sent = std::min(sent_, request_.bytes.size());
+  const std::array<net::const_buffer, 2> rest = {
+      net::buffer(request_.bytes) + head_sent,
+      net::buffer(request_.body.data(), request_.body.size()) +
+          (sent_ - head_sent)};
+  const std::size_t n = socket_.write_some(rest, ec);
   if (ec && ec != net::error::would_block) {
     // Part of the request may have arrived before the reset.
     net::post(socket_.get_executor(),
@@ -100,7 +103,7 @@
     return;
   }
   sent_ += n;
-  const bool sent = sent_ == request_.bytes.size();
+  const bool sent = sent_ == request_.Size();
   if (eof_ && sent) return EndAtEof();
   Read();
   if (sent) return;
@@ -254,7 +257,7 @@
   // While the request is still being sent, the upstream may have closed the
   // connection early, with only a part of the body sent. Writing the rest then
   // fails.
-  if (sent_ == request_.bytes.size()) EndAtEof();
+  if (sent_ == request_.Size()) EndAtEof();
 }
 
 void UpstreamConnection::EndAtEof() {
@@ -274,7 +277,7 @@
   paused_ = false;
   served_head_only_ = served_head_only_ || request_.head_only;
   const bool reusable = end == ExchangeEnd::kComplete && keep_alive_ &&
-                        input_.empty() && sent_ == request_.bytes.size();
+                        input_.empty() && sent_ == request_.Size();
   if (!reusable) Close();
   listener->OnUpstreamEnd(end);
 }
--- a/Source/Core/Forwarding/UpstreamConnection.h
+++ b/Source/Core/Forwarding/UpstreamConnection.h
@@ -43,11 +43,15 @@
 };
 
 struct UpstreamRequest {
-  std::string bytes;  // head and body as sent
+  std::string bytes;  // head, and the body unless it is in `body`
+  // Sent after `bytes`; must live as long as the listener.
+  std::string_view body;
   // Responses with another id are skipped. Only the first response on a
   // connection may lack the id.
   std::string request_id;
   bool head_only = false;  // HEAD: the response has no body
+
+  std::size_t Size() const { return bytes.size() + body.size(); }
 };
 
 // One connection to an upstream, with one request at a time. Not thread-safe.
--- a/Source/Core/Gateway/Call.cpp
+++ b/Source/Core/Gateway/Call.cpp
@@ -18,6 +18,8 @@
 // Reading from the upstream pauses while more than this many bytes wait to be
 // sent to the caller, and resumes once all of them were sent.
 constexpr std::size_t kMaxBacklog = 131'072;
+// Both limits while memory is tight.
+constexpr std::size_t kTightBuffer = 16'384;
 // Limit for one event of a stream.
 constexpr std::size_t kMaxEventBytes = 1'048'576;
 // Limit for the body of a refusal, which is not relayed.
@@ -51,7 +53,8 @@
            forwarding::CallerRequest request)
     : gateway(gateway),
       caller(std::move(caller)),
-      request(std::move(request)) {}
+      request(std::move(request)),
+      memory_(gateway.Memory()) {}
 
 void Call::StartAttempt(
     const common::UpstreamName& name, const common::Endpoint& endpoint,
@@ -69,12 +72,13 @@
   scanner_.DropPartial();
   forwarding::UpstreamRequest out{.request_id = metadata.request_id,
                                   .head_only = request.method == "HEAD"};
+  out.body = request.body;
   BuildRequest(now, &out.bytes);
   connection_->Exchange(endpoint, std::move(out), this);
 }
 
 void Call::BuildRequest(common::TimePoint now, std::string* bytes) const {
-  bytes->reserve(request.body.size() + 1'024);
+  bytes->reserve(1'024);
   bytes->append(request.method).append(" ").append(request.target);
   bytes->append(" HTTP/1.1\r\n");
   const forwarding::HeaderCodec& codec = gateway.Codec();
@@ -109,7 +113,7 @@
        .last_event_id = last_event,
        .cache_source = cache_source},
       bytes);
-  bytes->append("\r\n").append(request.body);
+  bytes->append("\r\n");
 }
 
 void Call::ResumeReading() {
@@ -165,12 +169,24 @@
       return EndAttempt(AttemptEnd::kBroken);
     }
     const std::string_view complete_events = scanner_.Add(bytes);
+    memory_.Set(scanner_.Partial().size());
     if (!complete_events.empty()) Deliver(complete_events);
     return;
   }
   if (response_started_) return Deliver(bytes);
   buffer_.append(bytes);
-  if (buffer_.size() > kMaxBufferedBody) Deliver(std::exchange(buffer_, {}));
+  memory_.Set(buffer_.capacity());
+  if (buffer_.size() <= MaxBufferedBody()) return;
+  Deliver(std::exchange(buffer_, {}));
+  memory_.Set(0);
+}
+
+std::size_t Call::MaxBufferedBody() const {
+  return overload::IsTight(*gateway.Memory()) ? kTightBuffer : kMaxBufferedBody;
+}
+
+std::size_t Call::MaxBacklog() const {
+  return overload::IsTight(*gateway.Memory()) ? kTightBuffer : kMaxBacklog;
 }
 
 void Call::OnUpstreamEnd(ExchangeEnd end) {
@@ -221,7 +237,7 @@
   StartResponse();
   gateway.OnProgress(*this);
   caller->Write(bytes);
-  if (caller->Backlog() > kMaxBacklog && connection_ != nullptr) {
+  if (caller->Backlog() > MaxBacklog() && connection_ != nullptr) {
     connection_->Pause();
   }
 }
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -132,13 +132,17 @@
   bool EndsInsideEvent() const;
   void StartResponse();
   void Deliver(std::string_view bytes);
+  // Limits of what is buffered for the caller, less while memory is tight.
+  std::size_t MaxBufferedBody() const;
+  std::size_t MaxBacklog() const;
 
   std::shared_ptr<forwarding::UpstreamConnection> connection_;
   // Of the current attempt; empty until its head has arrived.
   forwarding::UpstreamResponse response_;
   // Outcome that the response head implies; kAnswered if it is acceptable.
   AttemptEnd outcome_by_head_ = AttemptEnd::kAnswered;
-  std::string buffer_;  // buffered until the response is complete
+  std::string buffer_;             // buffered until the response is complete
+  overload::MemoryCharge memory_;  // of the response
   std::size_t refusal_bytes_ = 0;
   forwarding::EventScanner scanner_;
   bool response_started_ = false;
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -30,8 +30,6 @@
 // Time for the rest of a refusal to arrive after its head. The request goes
 // elsewhere afterwards.
 constexpr common::Duration kRefusalTime = milliseconds(100);
-// File descriptors reserved for files and control connections.
-constexpr int kReservedDescriptors = 300;
 // Time within which the load balancer notices that this process is not ready.
 constexpr common::Duration kReadinessNoticeTime = milliseconds(2'500);
 // Margin by which the process exits before it would be killed.
@@ -60,8 +58,7 @@
       caller_server_(
           environment_.context,
           {.clock = environment_.clock, .handler = *this, .limits = limits_},
-          static_cast<std::size_t>(
-              (settings_.max_descriptors - kReservedDescriptors) / 2)),
+          MaxConnections(settings_), MemoryOptions(settings_)),
       upstream_connections_(environment_.context, environment_.clock,
                             environment_.header_codec),
       crash_detector_(environment_.context, environment_.clock,
@@ -119,6 +116,7 @@
   }
   return metrics_.Text({.calls = calls_.size(),
                         .caller_connections = caller_server_.Connections(),
+                        .buffered_bytes = Memory()->used,
                         .upstreams = usable,
                         .passing_share = load_shedder_.share,
                         .ready = IsReady(),
@@ -396,6 +394,13 @@
       status);
 }
 
+void Gateway::OnNoMemory(std::size_t bytes) {
+  metrics_.CountErrorResponse(kUnavailable, "no_memory");
+  Log(Subsystem::kRouting, LogLevel::kWarning,
+      "event=request_refused reason=no_memory bytes={} buffered={} limit={}",
+      bytes, Memory()->used, Memory()->options.bytes);
+}
+
 void Gateway::OnRequest(
     const std::shared_ptr<forwarding::CallerConnection>& connection,
     forwarding::CallerRequest request) {
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -93,6 +93,7 @@
       const std::shared_ptr<forwarding::CallerConnection>& connection,
       forwarding::CallerRequest request) override;
   void OnMalformed(int status) override;
+  void OnNoMemory(std::size_t bytes) override;
 
   // Called by Call objects.
   void OnAttemptEnd(Call& call, AttemptEnd end,
@@ -105,6 +106,10 @@
   void OnStatements(const Call& call,
                     const forwarding::ResponseMetadata& response);
   common::TimePoint Now() const { return environment_.clock.Now(); }
+  // Of all that is held for callers.
+  const std::shared_ptr<overload::MemoryBudget>& Memory() const {
+    return caller_server_.Memory();
+  }
   const forwarding::HeaderCodec& Codec() const {
     return environment_.header_codec;
   }
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -91,6 +91,7 @@
   };
   set("calls", static_cast<double>(gauges.calls));
   set("caller_connections", static_cast<double>(gauges.caller_connections));
+  set("buffered_bytes", static_cast<double>(gauges.buffered_bytes));
   set("upstreams", static_cast<double>(gauges.upstreams));
   set("passing_share", gauges.passing_share);
   set("ready", gauges.ready ? 1 : 0);
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -21,7 +21,8 @@
 struct GatewayGauges {
   std::size_t calls = 0;  // requests without a complete response
   std::size_t caller_connections = 0;
-  std::size_t upstreams = 0;  // that accept requests
+  std::size_t buffered_bytes = 0;  // held for callers
+  std::size_t upstreams = 0;       // that accept requests
   // Fraction of the offered load that the load shedder admits.
   double passing_share = 1;
   bool ready = false;
--- a/Source/Core/Gateway/GatewayProcess.cpp
+++ b/Source/Core/Gateway/GatewayProcess.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/GatewayProcess.h"
 
+#include <malloc.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
@@ -20,6 +22,7 @@
 
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
+constexpr int kMmapThreshold = 131'072;
 
 absl::StatusOr<std::shared_ptr<transport::HttpServer>> ListenReadiness(
     net::io_context& context, const GatewaySettings& settings,
@@ -75,6 +78,9 @@
 
 absl::Status RunGateway(const GatewaySettings& settings,
                         const Deployment& deployment) {
+  // A fixed threshold. The default one grows with the freed blocks, and memory
+  // of long bodies would not return to the system.
+  mallopt(M_MMAP_THRESHOLD, kMmapThreshold);
   net::io_context context(1);
   const common::BootClock clock;
   transport::HttpClient client(context, clock, ControlClientOptions());
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -13,6 +13,14 @@
 constexpr int kMinDescriptors = 64;
 constexpr int kMaxDescriptors = 1'048'576;
 constexpr int kMinMemoryMb = 16;
+// File descriptors reserved for files and control connections.
+constexpr int kReservedDescriptors = 300;
+constexpr std::size_t kMegabyte = 1'048'576;
+// Parts of the memory for the bytes held for callers, and for the connections
+// themselves with their requests and upstream connections.
+constexpr std::size_t kBufferPart = 4;
+constexpr std::size_t kConnectionPart = 3;
+constexpr std::size_t kConnectionBytes = 32'768;
 constexpr int kMaxMemoryMb = 1'048'576;
 
 }  // namespace
@@ -41,6 +49,18 @@
   return std::min(settings.config_limit, settings.drain_limit);
 }
 
+std::size_t MaxConnections(const GatewaySettings& settings) {
+  const auto by_descriptors = static_cast<std::size_t>(
+      std::max(settings.max_descriptors - kReservedDescriptors, 2) / 2);
+  const std::size_t by_memory =
+      settings.memory_mb * kMegabyte / kConnectionPart / kConnectionBytes;
+  return std::min(by_descriptors, by_memory);
+}
+
+overload::MemoryBudgetOptions MemoryOptions(const GatewaySettings& settings) {
+  return {.bytes = settings.memory_mb * kMegabyte / kBufferPart};
+}
+
 settings::Settings GatewayKeys(GatewaySettings* target) {
   using settings::Address;
   using settings::Milliseconds;
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Common/Types.h"
+#include "Overload/MemoryBudget.h"
 #include "Settings/Settings.h"
 
 namespace shallotbeam::gateway {
@@ -56,6 +57,13 @@
 // Time within which every change of the store must take effect.
 std::chrono::milliseconds ChangeLimit(const GatewaySettings& settings);
 
+// Number of connections of callers that the descriptors and the memory of the
+// host allow.
+std::size_t MaxConnections(const GatewaySettings& settings);
+
+// Memory for what is held for callers.
+overload::MemoryBudgetOptions MemoryOptions(const GatewaySettings& settings);
+
 // The typed keys, bound to `target`, which must outlive them.
 settings::Settings GatewayKeys(GatewaySettings* target);
 
