--- a/Source/Core/Forwarding/CallerConnection.cpp
+++ b/Source/Core/Forwarding/CallerConnection.cpp
@@ -19,18 +19,6 @@
 namespace net = boost::asio;
 using boost::system::error_code;
 
-// Limit for buffered bytes of a caller that keeps sending while its request is
-// served.
-constexpr std::size_t kMaxReadAhead = 65'536;
-// The same while memory is tight.
-constexpr std::size_t kTightReadAhead = 8'192;
-// A request that holds at most this much is received whatever the others hold;
-// the number of connections bounds the sum.
-constexpr std::size_t kMinRequestBytes = 16'384;
-// Memory for a body is allocated in steps of at least this size.
-constexpr std::size_t kMinBodyCapacity = 4'096;
-// Buffers beyond this size are freed when they are empty.
-constexpr std::size_t kMaxIdleBuffer = 16'384;
 // Time for the caller to receive the last response before the connection is
 // closed.
 constexpr common::Duration kLingerTime = std::chrono::seconds(1);
@@ -45,11 +33,6 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
-constexpr int kUnavailable = 503;
-
-// Another entry host may have the memory.
-constexpr std::string_view kNoMemoryHeaders = "Retry-After: 1.000\r\n";
-
 int StatusOf(error_code ec) {
   if (ec == http::error::header_limit) return kHeadersTooLarge;
   if (ec == http::error::body_limit) return kPayloadTooLarge;
@@ -65,7 +48,7 @@
       state_since_(opened_),
       last_progress_(state_since_),
       buffer_memory_(options.memory),
-      body_memory_(options.memory) {}
+      request_memory_(options.memory) {}
 
 void CallerConnection::Start() {
   error_code ec;
@@ -125,67 +108,6 @@
   if (PartialBytes() > 0 && !MayHold(0)) RefuseForMemory();
 }
 
-std::size_t CallerConnection::MaxReadAhead() const {
-  const bool tight =
-      options_.memory != nullptr && overload::IsTight(*options_.memory);
-  return tight ? kTightReadAhead : kMaxReadAhead;
-}
-
-std::size_t CallerConnection::PartialBytes() const {
-  if (state_ != State::kReading) return 0;
-  return input_.capacity() + body_memory_.Bytes();
-}
-
-bool CallerConnection::MayHold(std::size_t bytes) {
-  if (options_.memory == nullptr) return true;
-  if (overload::HasRoom(*options_.memory, bytes)) return true;
-  const std::size_t own = PartialBytes();
-  return (options_.make_room && options_.make_room(bytes, own)) ||
-         own + bytes <= kMinRequestBytes;
-}
-
-// A string that grows by itself doubles its capacity. A stated length is not
-// allocated before its bytes arrive, but it bounds the capacity.
-bool CallerConnection::ReserveBody() {
-  std::string& body = parser_->get().body();
-  const auto left = parser_->content_length_remaining();
-  const std::size_t arrived =
-      left ? std::min<std::size_t>(input_.size(), *left) : input_.size();
-  const std::size_t needed = body.size() + arrived;
-  if (needed <= body.capacity()) return true;
-  const std::size_t longest =
-      left ? body.size() + *left : options_.limits.body_bytes;
-  const std::size_t doubled =
-      std::max<std::size_t>(2 * body.capacity(), kMinBodyCapacity);
-  const std::size_t capacity = std::max(needed, std::min(doubled, longest));
-  if (!MayHold(capacity - body.capacity())) return false;
-  std::string larger;
-  larger.reserve(capacity);
-  larger.append(body);
-  body.swap(larger);
-  body_memory_.Set(body.capacity());
-  return true;
-}
-
-void CallerConnection::CountBuffers() {
-  if (input_.empty() && input_.capacity() > kMaxIdleBuffer) input_ = {};
-  if (output_.empty() && output_.capacity() > kMaxIdleBuffer) output_ = {};
-  buffer_memory_.Set(input_.capacity() + output_.capacity());
-}
-
-void CallerConnection::FreeBuffers() {
-  parser_.reset();
-  input_ = {};
-  body_memory_.Set(0);
-  CountBuffers();
-}
-
-void CallerConnection::RefuseForMemory() {
-  if (state_ != State::kReading) return;
-  options_.handler.OnNoMemory(PartialBytes());
-  Reject(kUnavailable, kNoMemoryHeaders);
-}
-
 void CallerConnection::ParseInput() {
   while (!input_.empty() &&
          (state_ == State::kIdle || state_ == State::kReading)) {
@@ -193,6 +115,7 @@
       state_ = State::kReading;
       state_since_ = options_.clock.Now();
       continue_sent_ = false;
+      head_bytes_ = 0;
       message_bytes_ = {};
       parser_.emplace();
       parser_->header_limit(
@@ -221,6 +144,7 @@
     }
     if (!parser_->is_header_done()) continue;
     if (IsAmbiguouslyFramed(parser_->get().base())) return Reject(kBadRequest);
+    if (!CountHead()) return RefuseForMemory();
     if (parser_->is_done()) return OnParsed();
     const bool waits =
         beast::iequals(parser_->get()[http::field::expect], "100-continue");
@@ -248,19 +172,23 @@
                         .host = std::string(message[http::field::host]),
                         .body = std::move(message.body()),
                         .arrived = state_since_,
-                        .memory = std::move(body_memory_)};
-  body_memory_ = overload::MemoryCharge(options_.memory);
+                        .memory = std::move(request_memory_)};
+  request_memory_ = overload::MemoryCharge(options_.memory);
   request.fields = std::move(message.base());
   parser_.reset();
   options_.handler.OnRequest(shared_from_this(), std::move(request));
 }
 
-void CallerConnection::Reject(int status, std::string_view headers) {
+void CallerConnection::Reject(int status) {
+  options_.handler.OnMalformed(status);
+  Refuse(status, "");
+}
+
+void CallerConnection::Refuse(int status, std::string_view headers) {
   keep_alive_ = false;
   FreeBuffers();
   state_ = State::kServing;
   head_sent_ = false;
-  if (status != kUnavailable) options_.handler.OnMalformed(status);
   Send(status, headers, "");
 }
 
@@ -398,7 +326,9 @@
   // Pipelined requests are handled once this call has returned.
   if (input_.empty()) return Read();
   net::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->last_progress_ = self->options_.clock.Now();
     if (self->state_ == State::kIdle) self->ParseInput();
+    self->CountBuffers();
     self->Read();
   });
 }
@@ -423,7 +353,7 @@
   }
   state_ = State::kClosed;
   socket_.close(ec);
-  output_ = {};
+  FreeOutput();
   FreeBuffers();
   const CallerCallbacks callbacks = std::exchange(callbacks_, {});
   if (unanswered && callbacks.on_disconnected) callbacks.on_disconnected();
--- a/Source/Core/Forwarding/CallerConnection.h
+++ b/Source/Core/Forwarding/CallerConnection.h
@@ -27,7 +27,7 @@
   Fields fields;
   std::string body;
   common::TimePoint arrived;      // when its last byte was read
-  overload::MemoryCharge memory;  // of the body
+  overload::MemoryCharge memory;  // of head and body
 };
 
 class CallerConnection;
@@ -67,10 +67,10 @@
     common::Duration max_age = std::chrono::seconds(5);
     // Counts what the connection holds, if set.
     std::shared_ptr<overload::MemoryBudget> memory;
-    // Makes room for `bytes` more in the budget at the expense of other
-    // connections, on behalf of a request for which `own` bytes are held.
-    // Returns whether there is room.
-    std::function<bool(std::size_t bytes, std::size_t own)> make_room;
+    // Makes room for `bytes` more in the budget at the expense of connections
+    // other than `requester`. Returns whether there is room.
+    std::function<bool(const CallerConnection& requester, std::size_t bytes)>
+        make_room;
   };
 
   CallerConnection(boost::asio::ip::tcp::socket socket, Options options);
@@ -108,6 +108,10 @@
   // Bytes of a request that is being received; 0 if there is none.
   std::size_t PartialBytes() const;
   common::TimePoint LastProgress() const { return last_progress_; }
+  // Whether output waits for a caller that has read nothing for a while.
+  bool IsOutputStalled(common::TimePoint now) const;
+  // Closes the connection in the middle of a response.
+  void Drop() { Close(); }
   // Refuses the request that is being received and frees what is held for it.
   void RefuseForMemory();
 
@@ -137,7 +141,13 @@
   void OnParsed();
   // Whether the request takes longer to arrive than a slow caller needs.
   bool IsRequestLate(common::TimePoint now) const;
-  void Reject(int status, std::string_view headers = "");
+  // Refuses a malformed request.
+  void Reject(int status);
+  // Responds to a request that was not read whole, and closes the connection.
+  void Refuse(int status, std::string_view headers);
+  // Counts the memory of a head that was read. Returns false if the budget does
+  // not allow it.
+  bool CountHead();
   // Allocates memory for the body bytes that were read. Returns false if the
   // budget does not allow it.
   bool ReserveBody();
@@ -146,6 +156,7 @@
   std::size_t MaxReadAhead() const;
   void CountBuffers();
   void FreeBuffers();
+  void FreeOutput();
   // Whether the connection is closed after the current response.
   bool ClosesAfterResponse() const;
   void AppendFraming(std::string* head);
@@ -165,6 +176,7 @@
   std::array<char, kReadBytes> read_buffer_;
   std::string input_;           // read, not parsed yet
   MessageBytes message_bytes_;  // of the request being read
+  std::size_t head_bytes_ = 0;  // memory for its head
   std::string output_;
   CallerCallbacks callbacks_;
   State state_ = State::kIdle;
@@ -172,7 +184,7 @@
   common::TimePoint state_since_;
   common::TimePoint last_progress_;
   overload::MemoryCharge buffer_memory_;
-  overload::MemoryCharge body_memory_;  // of the request being read
+  overload::MemoryCharge request_memory_;  // of the request being read
   bool reading_ = false;
   bool awaiting_writable_ = false;
   bool head_sent_ = false;
--- a/Source/Core/Forwarding/CallerServer.cpp
+++ b/Source/Core/Forwarding/CallerServer.cpp
@@ -36,21 +36,24 @@
       acceptor_(context),
       accept_retry_timer_(context) {
   options_.memory = memory_;
-  options_.make_room = [this](std::size_t bytes, std::size_t own) {
-    return MakeRoom(bytes, own);
+  options_.make_room = [this](const CallerConnection& requester,
+                              std::size_t bytes) {
+    return MakeRoom(requester, bytes);
   };
 }
 
-bool CallerServer::MakeRoom(std::size_t bytes, std::size_t own) {
+bool CallerServer::MakeRoom(const CallerConnection& requester,
+                            std::size_t bytes) {
   while (!overload::HasRoom(*memory_, bytes)) {
     std::vector<overload::PartialMessage> messages;
     messages.reserve(connections_.size());
     for (const auto& it : connections_) {
-      messages.push_back(
-          {.bytes = it->PartialBytes(), .last_progress = it->LastProgress()});
+      const bool is_other = it.get() != &requester;
+      messages.push_back({.bytes = is_other ? it->PartialBytes() : 0,
+                          .last_progress = it->LastProgress()});
     }
-    const auto victim =
-        overload::PickVictim(messages, own, options_.clock.Now());
+    const auto victim = overload::PickVictim(messages, requester.PartialBytes(),
+                                             options_.clock.Now());
     if (!victim) return false;
     connections_[*victim]->RefuseForMemory();
   }
@@ -156,8 +159,10 @@
 
 void CallerServer::CheckTimeouts(common::TimePoint now) {
   const bool half_full = IsHalfFull();
+  const bool full = !overload::HasRoom(*memory_, 0);
   for (const auto& it : connections_) {
     it->CheckTimeouts(now);
+    if (full && it->IsOutputStalled(now)) it->Drop();
     if (!half_full) continue;
     it->CloseAfterNextResponse();
     it->CloseIfIdleFor(now, kHalfFullIdleTime);
--- a/Source/Core/Forwarding/CallerServer.h
+++ b/Source/Core/Forwarding/CallerServer.h
@@ -61,9 +61,9 @@
   void AcceptPending();
   void Add(boost::asio::ip::tcp::socket socket);
   // Refuses requests that are being received until `bytes` more fit into the
-  // memory budget, if any of them holds much more than `own` bytes or stalls.
+  // memory budget, if any of them holds much more than `requester` or stalls.
   // Returns whether they fit.
-  bool MakeRoom(std::size_t bytes, std::size_t own);
+  bool MakeRoom(const CallerConnection& requester, std::size_t bytes);
   // Whether another connection is allowed.
   bool HasRoom();
   void RemoveClosed();
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -51,7 +51,9 @@
 
 std::size_t MaxConnections(const GatewaySettings& settings) {
   const auto by_descriptors = static_cast<std::size_t>(
-      std::max(settings.max_descriptors - kReservedDescriptors, 2) / 2);
+      std::max(settings.max_descriptors - kReservedDescriptors,
+               settings.max_descriptors / 2) /
+      2);
   const std::size_t by_memory =
       settings.memory_mb * kMegabyte / kConnectionPart / kConnectionBytes;
   return std::min(by_descriptors, by_memory);
--- a/Source/Core/Runtime/AgentProcess.cpp
+++ b/Source/Core/Runtime/AgentProcess.cpp
@@ -133,7 +133,9 @@
 
   auto listening = transport::HttpServer::Listen(
       host.Context(),
-      {.endpoint = settings.data, .make_error = ToMalformedResponse},
+      {.endpoint = settings.data,
+       .max_buffered_bytes = MaxBufferedBytes(settings),
+       .make_error = ToMalformedResponse},
       [agent](const auto& exchange) { HandleOffer(*agent, exchange); });
   if (!listening.ok()) return listening.status();
   data = *std::move(listening);
--- a/Source/Core/Runtime/ProcessSettings.cpp
+++ b/Source/Core/Runtime/ProcessSettings.cpp
@@ -9,6 +9,11 @@
 using settings::Presence;
 
 constexpr int kMaxThreads = 64;
+constexpr int kMinMemoryMb = 16;
+constexpr int kMaxMemoryMb = 1'048'576;
+constexpr std::size_t kMegabyte = 1'048'576;
+// Part of the memory for the requests of callers.
+constexpr std::size_t kBufferPart = 4;
 constexpr std::chrono::milliseconds kMinDrainTime{1};
 constexpr std::chrono::milliseconds kMaxDrainTime = std::chrono::hours(1);
 
@@ -28,6 +33,8 @@
                           &target->routers, routers),
       settings::Number("threads", "network threads", 1, kMaxThreads,
                        &target->threads),
+      settings::Number("memory-mb", "memory that this process may use, in MiB",
+                       kMinMemoryMb, kMaxMemoryMb, &target->memory_mb),
       settings::LogLevels("log", "log levels by subsystem",
                           &target->log_levels),
       settings::Milliseconds("drain-deadline-ms", "longest graceful shutdown",
@@ -49,6 +56,10 @@
   control = {"127.0.0.1", 8092};
 }
 
+std::size_t MaxBufferedBytes(const ProcessSettings& settings) {
+  return settings.memory_mb * kMegabyte / kBufferPart;
+}
+
 settings::Settings RouterKeys(RouterSettings* target) {
   settings::Settings keys = SharedKeys(target, Presence::kOptional);
   keys.push_back(settings::Address("listen", "address for callers (HTTP)",
--- a/Source/Core/Runtime/ProcessSettings.h
+++ b/Source/Core/Runtime/ProcessSettings.h
@@ -20,6 +20,7 @@
   // Control addresses of seed routers, from which the others are discovered.
   std::vector<common::Endpoint> routers;
   int threads = 2;
+  int memory_mb = 1'024;  // that this process may use
   std::string log_levels = "info";
   // A drain ends after this time, even if requests are still running.
   std::chrono::milliseconds drain_deadline{60'000};
@@ -45,6 +46,9 @@
   AgentSettings();
 };
 
+// Bytes that the requests of callers together may hold.
+std::size_t MaxBufferedBytes(const ProcessSettings& settings);
+
 // The settings of both programs, which store their values in `target`; `target`
 // must outlive them.
 settings::Settings RouterKeys(RouterSettings* target);
--- a/Source/Core/Runtime/Refusals.cpp
+++ b/Source/Core/Runtime/Refusals.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr int kUnavailable = 503;
+
 using common::Reason;
 using common::Refusal;
 using std::chrono::duration_cast;
@@ -152,6 +154,10 @@
 }
 
 transport::HttpResponse ToMalformedResponse(int status) {
+  if (status == kUnavailable) {
+    return ToResponse(
+        {.reason = Reason::kBusy, .retry_after = std::chrono::seconds(1)});
+  }
   const Reason reason =
       status == 413 ? Reason::kBodyTooLarge : Reason::kBadRequest;
   transport::HttpResponse response = ToResponse({.reason = reason});
--- a/Source/Core/Runtime/Refusals.h
+++ b/Source/Core/Runtime/Refusals.h
@@ -16,7 +16,8 @@
 // Response with verdict and reason in headers and in a JSON body.
 transport::HttpResponse ToResponse(const common::Refusal& refusal);
 
-// Response with the given HTTP status to a request that could not be parsed.
+// Response with the given HTTP status to a request that could not be parsed, or
+// was not received because of a lack of memory (status 503).
 transport::HttpResponse ToMalformedResponse(int status);
 
 // Final server-sent event of a truncated stream.
--- a/Source/Core/Runtime/RouterProcess.cpp
+++ b/Source/Core/Runtime/RouterProcess.cpp
@@ -172,7 +172,9 @@
 
   auto listening = transport::HttpServer::Listen(
       host.Context(),
-      {.endpoint = settings.callers, .make_error = ToMalformedResponse},
+      {.endpoint = settings.callers,
+       .max_buffered_bytes = MaxBufferedBytes(settings),
+       .make_error = ToMalformedResponse},
       CallerHandler(*router, incarnation));
   if (!listening.ok()) return listening.status();
   callers = *std::move(listening);
--- a/Source/Core/Transport/HttpServer.h
+++ b/Source/Core/Transport/HttpServer.h
@@ -17,6 +17,7 @@
 namespace shallotbeam::transport {
 
 class HttpSession;
+class RequestMemory;
 
 // One request of a client and its response. All calls are thread-safe and
 // return immediately. They have no effect after the client has disconnected.
@@ -56,6 +57,8 @@
 
   HttpRequest request_;
   std::weak_ptr<HttpSession> session_;
+  // Counts the request in the memory of the server while it is in use.
+  std::shared_ptr<void> memory_;
 };
 
 struct HttpServerOptions {
@@ -63,6 +66,10 @@
   std::size_t max_header_bytes = 16'384;
   std::size_t max_body_bytes = 4'000'000;
   int max_connections = 10'000;
+  // Bytes that all requests together may hold, those that are being received
+  // and those without a complete response. Beyond it, requests that are being
+  // received are refused with status 503, except small ones.
+  std::size_t max_buffered_bytes = 268'435'456;
   common::Duration idle_timeout = std::chrono::seconds(60);
   // Time to receive the body of a request after its header.
   common::Duration receive_timeout = std::chrono::seconds(20);
@@ -100,6 +107,7 @@
   std::uint16_t port_;
 
   friend class HttpSession;
+  friend class RequestMemory;
 };
 
 }  // namespace shallotbeam::transport
--- a/Source/Core/Transport/HttpSession.cpp
+++ b/Source/Core/Transport/HttpSession.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <sstream>
 #include <utility>
@@ -27,6 +28,11 @@
 // Bytes read and not parsed yet, beside a head. The parser takes a chunk header
 // and all trailers as a whole and has no limit for either.
 constexpr std::size_t kMaxUnparsedBytes = 131'072;
+// A request that holds at most this much is received whatever the others hold;
+// the number of connections bounds the sum.
+constexpr std::size_t kMinRequestBytes = 16'384;
+
+constexpr int kUnavailable = 503;
 
 template <typename Body>
 void SetHead(http::response<Body>& response, const HttpResponse& head,
@@ -58,6 +64,11 @@
 
 }  // namespace
 
+void RequestMemory::Set(std::size_t bytes) {
+  shared_->buffered_bytes += bytes - bytes_;
+  bytes_ = bytes;
+}
+
 HttpSession::HttpSession(net::ip::tcp::socket socket,
                          std::shared_ptr<HttpServer::Shared> shared)
     : stream_(std::move(socket)),
@@ -109,11 +120,9 @@
   }
   const auto read = [self = shared_from_this()] {
     self->stream_.expires_after(self->shared_->options.receive_timeout);
-    http::async_read(self->stream_, self->buffer_, *self->parser_,
-                     [self](error_code ec, std::size_t) {
-                       if (ec) return self->RejectRequest(ec);
-                       self->OnRequest();
-                     });
+    self->parser_->eager(true);
+    self->memory_ = std::make_shared<RequestMemory>(self->shared_);
+    self->ReadBodyPart();
   };
   if (!beast::iequals(message[http::field::expect], "100-continue")) {
     return read();
@@ -127,8 +136,26 @@
       });
 }
 
+void HttpSession::ReadBodyPart() {
+  if (parser_->is_done()) return OnRequest();
+  http::async_read_some(
+      stream_, buffer_, *parser_,
+      [self = shared_from_this()](error_code ec, std::size_t) {
+        if (ec) return self->RejectRequest(ec);
+        if (!self->CountMemory()) return self->RefuseWith(kUnavailable);
+        self->ReadBodyPart();
+      });
+}
+
+bool HttpSession::CountMemory() {
+  const std::size_t bytes =
+      parser_->get().body().capacity() + buffer_.capacity();
+  memory_->Set(bytes);
+  return parser_->get().body().size() <= kMinRequestBytes ||
+         shared_->buffered_bytes <= shared_->options.max_buffered_bytes;
+}
+
 void HttpSession::RejectRequest(error_code ec) {
-  const auto& options = shared_->options;
   int status = 0;
   if (ec == http::error::header_limit) status = 431;
   if (ec == http::error::body_limit) status = 413;
@@ -136,7 +163,15 @@
       ec.category() == error_code(http::error::bad_method).category() &&
       ec != http::error::end_of_stream && ec != http::error::partial_message;
   if (status == 0 && malformed) status = 400;
-  if (status == 0 || !options.make_error) return Close();
+  if (status == 0) return Close();
+  RefuseWith(status);
+}
+
+void HttpSession::RefuseWith(int status) {
+  const auto& options = shared_->options;
+  parser_.reset();
+  memory_.reset();
+  if (!options.make_error) return Close();
   keep_alive_ = false;
   response_ended_ = true;
   stream_.expires_after(options.send_timeout);
@@ -146,7 +181,7 @@
 
 void HttpSession::OnRequest() {
   stream_.expires_never();
-  http::request<http::string_body> message = parser_->release();
+  http::request<forwarding::AppendingBody> message = parser_->release();
   keep_alive_ = message.keep_alive();
   HttpRequest request;
   request.method = std::string(message.method_string());
@@ -159,6 +194,7 @@
   on_client_disconnected_ = nullptr;
   exchange_ = std::make_shared<HttpExchange>(std::move(request));
   exchange_->session_ = weak_from_this();
+  exchange_->memory_ = std::move(memory_);
   SetPending(true);
   WatchForDisconnect();
   shared_->handler(exchange_);
@@ -289,6 +325,7 @@
   if (closed_) return;
   closed_ = true;
   SetPending(false);
+  memory_.reset();
   stream_.close();
   const auto on_disconnected = std::exchange(on_client_disconnected_, nullptr);
   const bool response_pending = exchange_ != nullptr && !response_ended_;
--- a/Source/Core/Transport/HttpSession.h
+++ b/Source/Core/Transport/HttpSession.h
@@ -6,13 +6,13 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "Forwarding/AppendingBody.h"
 #include "Transport/HttpServer.h"
 
 // Server side of one client connection; used only by HttpServer.
@@ -23,10 +23,27 @@
   Handler handler;
   std::atomic<int> connections = 0;
   std::atomic<int> pending_responses = 0;
+  std::atomic<std::size_t> buffered_bytes = 0;
   std::atomic<bool> closing = false;
   std::function<void()> close_acceptor;
 };
 
+// Bytes that one request holds, counted in Shared::buffered_bytes.
+class RequestMemory {
+ public:
+  explicit RequestMemory(std::shared_ptr<HttpServer::Shared> shared)
+      : shared_(std::move(shared)) {}
+  ~RequestMemory() { Set(0); }
+  RequestMemory(const RequestMemory&) = delete;
+  RequestMemory& operator=(const RequestMemory&) = delete;
+
+  void Set(std::size_t bytes);
+
+ private:
+  std::shared_ptr<HttpServer::Shared> shared_;
+  std::size_t bytes_ = 0;
+};
+
 // All members are accessed only on the strand of `stream_`.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
  public:
@@ -58,9 +75,14 @@
 
   void ReadHeader();
   void ReadBody();
+  void ReadBodyPart();
+  // Counts what the request holds. Returns whether that is allowed.
+  bool CountMemory();
   void OnRequest();
   void WatchForDisconnect();
   void RejectRequest(boost::system::error_code ec);
+  // Responds with an error and closes the connection.
+  void RefuseWith(int status);
   void Queue(std::string bytes, std::function<void()> flushed);
   void WriteNext();
   void EndResponse();
@@ -70,9 +92,9 @@
   boost::beast::tcp_stream stream_;
   std::shared_ptr<HttpServer::Shared> shared_;
   boost::beast::flat_buffer buffer_;
-  std::optional<
-      boost::beast::http::request_parser<boost::beast::http::string_body>>
+  std::optional<boost::beast::http::request_parser<forwarding::AppendingBody>>
       parser_;
+  std::shared_ptr<RequestMemory> memory_;  // of the request being received
   std::shared_ptr<HttpExchange> exchange_;
   std::function<void()> on_client_disconnected_;
   std::deque<Output> output_;
--- a/Source/UnitTests/Core/Forwarding/CallerServerTest.cpp
+++ b/Source/UnitTests/Core/Forwarding/CallerServerTest.cpp
@@ -31,6 +31,18 @@
   void OnMalformed(int /*status*/) override {}
 };
 
+// Answers when the test does.
+class SlowHandler : public CallerHandler {
+ public:
+  void OnRequest(const std::shared_ptr<CallerConnection>& connection,
+                 CallerRequest /*request*/) override {
+    waiting.push_back(connection);
+  }
+  void OnMalformed(int /*status*/) override {}
+
+  std::vector<std::shared_ptr<CallerConnection>> waiting;
+};
+
 struct Fixture {
   net::io_context context;
   common::ManualClock clock;
@@ -159,6 +171,54 @@
   BOOST_CHECK(!Receive(waiting).empty());
 }
 
+// Guards against memory that refused requests and closed connections keep.
+BOOST_AUTO_TEST_CASE(RefusedRequestsFreeTheirMemory) {
+  constexpr std::size_t kBudget = 100'000;
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n";
+  CallerServer small(context,
+                     {.clock = clock, .handler = handler, .limits = limits},
+                     kMaxConnections, {.bytes = kBudget});
+  BOOST_REQUIRE(small.Listen({.address = "127.0.0.1", .port = 0}).ok());
+  for (int i = 0; i < 4; ++i) {
+    net::ip::tcp::socket& socket = sockets.emplace_back(context);
+    socket.connect({net::ip::make_address("127.0.0.1"), small.Port()});
+    net::write(socket, net::buffer(head + std::string(80'000, 'u')));
+    for (int round = 0; round < 50; ++round) context.run_one_for(1ms);
+    BOOST_CHECK_LE(small.Memory()->used, kBudget);
+    clock.Advance(2s);
+  }
+  for (net::ip::tcp::socket& it : sockets) it.close();
+  for (int round = 0; round < 100; ++round) context.run_one_for(1ms);
+  BOOST_CHECK_EQUAL(small.Memory()->used, 0);
+}
+
+// Guards against a process that ends because a request that waited behind a
+// slow response needs memory while its connection looks stalled.
+BOOST_AUTO_TEST_CASE(RequestBehindASlowResponseIsNotItsOwnVictim) {
+  constexpr std::size_t kBudget = 49'152;
+  SlowHandler slow;
+  CallerServer small(context,
+                     {.clock = clock, .handler = slow, .limits = limits},
+                     kMaxConnections, {.bytes = kBudget});
+  BOOST_REQUIRE(small.Listen({.address = "127.0.0.1", .port = 0}).ok());
+  net::ip::tcp::socket& socket = sockets.emplace_back(context);
+  socket.connect({net::ip::make_address("127.0.0.1"), small.Port()});
+  net::write(socket,
+             net::buffer("GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+                         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                         "30000\r\n\r\n" +
+                         std::string(30'000, 'u')));
+  for (int round = 0; round < 50; ++round) context.run_one_for(1ms);
+  BOOST_REQUIRE_EQUAL(slow.waiting.size(), 1);
+  clock.Advance(2s);
+  slow.waiting.front()->Send(200, "", "");
+  for (int round = 0; round < 50; ++round) context.run_one_for(1ms);
+  BOOST_CHECK(Receive(socket).find("200") != std::string::npos);
+  // The process goes on, whether the request found room or was refused.
+  BOOST_CHECK(slow.waiting.size() == 2 || small.Memory()->used <= kBudget);
+}
+
 // Guards against connections that are closed although more are allowed.
 BOOST_AUTO_TEST_CASE(ConnectionsAreKeptWhileThereIsRoom) {
   for (std::size_t i = 0; i < kMaxConnections / 2; ++i) {
--- a/Source/UnitTests/Core/Transport/HttpServerTest.cpp
+++ b/Source/UnitTests/Core/Transport/HttpServerTest.cpp
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <vector>
 
 #include "HttpFixture.h"
 #include "Transport/HttpServer.h"
@@ -72,6 +73,46 @@
   }
 }
 
+// Guards against a process that runs out of memory because many clients send
+// long bodies at once and stop short of their end, and against other clients
+// that get no response meanwhile or a refusal afterwards.
+BOOST_AUTO_TEST_CASE(MemoryOfAllRequestsIsBounded) {
+  constexpr std::size_t kBodyBytes = 300'000;
+  HttpServerOptions options;
+  options.max_buffered_bytes = 1'000'000;
+  HttpFixture fixture(Echo, options);
+  const auto head = [](std::size_t length) {
+    return "POST /a HTTP/1.1\r\nContent-Length: " + std::to_string(length) +
+           "\r\n\r\n";
+  };
+  {
+    std::vector<boost::asio::ip::tcp::socket> crowd;
+    for (int i = 0; i < 10; ++i) {
+      crowd.push_back(fixture.Connect());
+      boost::system::error_code ec;
+      boost::asio::write(crowd.back(),
+                         boost::asio::buffer(head(kBodyBytes) +
+                                             std::string(kBodyBytes - 1, 'u')),
+                         ec);
+    }
+    const std::string small = head(5'000) + std::string(5'000, 'o');
+    auto ordinary = fixture.Connect();
+    WriteText(ordinary, small);
+    BOOST_CHECK(ReadUntil(ordinary, "/a;").find("200 OK") != std::string::npos);
+    // Whoever came last found no memory left.
+    BOOST_CHECK(ReadUntil(crowd.back(), "refused").find("503") !=
+                std::string::npos);
+  }
+  std::string text;
+  for (int i = 0; i < 100 && text.find("200 OK") == std::string::npos; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    auto later = fixture.Connect();
+    WriteText(later, head(kBodyBytes) + std::string(kBodyBytes, 'u'));
+    text = ReadUntil(later, "/a;");
+  }
+  BOOST_CHECK(text.find("200 OK") != std::string::npos);
+}
+
 // Guards against connections that stay open forever after a response.
 BOOST_AUTO_TEST_CASE(IdleConnectionIsClosed) {
   HttpServerOptions options;
--- a/Source/UnitTests/Fleet/HostileCallersTest.cpp
+++ b/Source/UnitTests/Fleet/HostileCallersTest.cpp
@@ -68,6 +68,14 @@
   BOOST_CHECK_EQUAL(Request(kOrdinaryBytes), kOk);
 }
 
+// Guards against heads of legal size that take many times their size in memory.
+BOOST_AUTO_TEST_CASE(ManyHeadsOfTinyFields) {
+  for (int i = 0; i < kCrowd; ++i) AddCaller(ManyFieldsUpload());
+  SendAll();
+  BOOST_TEST_MESSAGE(Statuses());
+  BOOST_CHECK_EQUAL(Request(kOrdinaryBytes), kOk);
+}
+
 // Guards against bodies far over the limit whose length is stated.
 BOOST_AUTO_TEST_CASE(BodiesOfAnAnnouncedLengthFarOverTheLimit) {
   for (int i = 0; i < kSmallCrowd; ++i) {
--- a/Source/UnitTests/Fleet/HostileFixture.cpp
+++ b/Source/UnitTests/Fleet/HostileFixture.cpp
@@ -93,6 +93,13 @@
   return upload;
 }
 
+Upload ManyFieldsUpload() {
+  constexpr std::size_t kFields = 4'000;
+  std::string fields = "Content-Length: 100";
+  for (std::size_t i = 0; i < kFields; ++i) fields += "\r\na:";
+  return {.head = RequestHead(fields), .tail = std::string(99, 'u')};
+}
+
 // Answers for the store and the upstream.
 struct HostileFixture::Backends {
   net::io_context context;
--- a/Source/UnitTests/Fleet/HostileFixture.h
+++ b/Source/UnitTests/Fleet/HostileFixture.h
@@ -38,6 +38,9 @@
 // An upload in chunks of `chunk` bytes; whole if `ended`.
 Upload ChunkedUpload(std::size_t length, std::size_t chunk, bool ended);
 
+// A head of many fields whose body stops one byte short of its end.
+Upload ManyFieldsUpload();
+
 // The process, the store and the upstream that it needs. The store and the
 // upstream run on a thread of their own.
 class HostileFixture {
