--- a/Source/Core/Forwarding/CallerConnection.cpp
+++ b/Source/Core/Forwarding/CallerConnection.cpp
@@ -19,9 +19,6 @@
 namespace net = boost::asio;
 using boost::system::error_code;
 
-// Limit for buffered bytes of a caller that keeps sending while its request is
-// served.
-constexpr std::size_t kMaxReadAhead = 65'536;
 // Time for the caller to receive the last response before the connection is
 // closed.
 constexpr common::Duration kLingerTime = std::chrono::seconds(1);
@@ -36,7 +33,6 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
-
 int StatusOf(error_code ec) {
   if (ec == http::error::header_limit) return kHeadersTooLarge;
   if (ec == http::error::body_limit) return kPayloadTooLarge;
@@ -50,7 +46,9 @@
       options_(options),
       opened_(options.clock.Now()),
       state_since_(opened_),
-      last_progress_(state_since_) {}
+      last_progress_(state_since_),
+      buffer_memory_(options.memory),
+      request_memory_(options.memory) {}
 
 void CallerConnection::Start() {
   error_code ec;
@@ -88,7 +86,7 @@
 
 void CallerConnection::Read() {
   if (reading_ || state_ == State::kClosed) return;
-  if (input_.size() > kMaxReadAhead && state_ == State::kServing) return;
+  if (input_.size() > MaxReadAhead() && state_ == State::kServing) return;
   reading_ = true;
   socket_.async_read_some(
       net::buffer(read_buffer_),
@@ -106,6 +104,8 @@
   if (state_ == State::kLingering) return;
   input_.append(read_buffer_.data(), n);
   if (state_ != State::kServing) ParseInput();
+  CountBuffers();
+  if (PartialBytes() > 0 && !MayHold(0)) RefuseForMemory();
 }
 
 void CallerConnection::ParseInput() {
@@ -115,12 +115,14 @@
       state_ = State::kReading;
       state_since_ = options_.clock.Now();
       continue_sent_ = false;
+      head_bytes_ = 0;
       message_bytes_ = {};
       parser_.emplace();
       parser_->header_limit(
           static_cast<std::uint32_t>(options_.limits.header_bytes));
       parser_->body_limit(options_.limits.body_bytes);
     }
+    if (parser_->is_header_done() && !ReserveBody()) return RefuseForMemory();
     error_code ec;
     // The head is parsed alone first, because its framing headers determine the
     // body.
@@ -142,6 +144,7 @@
     }
     if (!parser_->is_header_done()) continue;
     if (IsAmbiguouslyFramed(parser_->get().base())) return Reject(kBadRequest);
+    if (!CountHead()) return RefuseForMemory();
     if (parser_->is_done()) return OnParsed();
     const bool waits =
         beast::iequals(parser_->get()[http::field::expect], "100-continue");
@@ -168,18 +171,25 @@
                         .target = std::string(target),
                         .host = std::string(message[http::field::host]),
                         .body = std::move(message.body()),
-                        .arrived = state_since_};
+                        .arrived = state_since_,
+                        .memory = std::move(request_memory_)};
+  request_memory_ = overload::MemoryCharge(options_.memory);
   request.fields = std::move(message.base());
   parser_.reset();
   options_.handler.OnRequest(shared_from_this(), std::move(request));
 }
 
 void CallerConnection::Reject(int status) {
+  options_.handler.OnMalformed(status);
+  Refuse(status, "");
+}
+
+void CallerConnection::Refuse(int status, std::string_view headers) {
   keep_alive_ = false;
+  FreeBuffers();
   state_ = State::kServing;
   head_sent_ = false;
-  options_.handler.OnMalformed(status);
-  Send(status, "", "");
+  Send(status, headers, "");
 }
 
 bool CallerConnection::ClosesAfterResponse() const {
@@ -255,7 +265,7 @@
   if (state_ == State::kClosed) return;
   if (awaiting_writable_) {
     output_.append(bytes);
-    return;
+    return CountBuffers();
   }
   if (!output_.empty()) {
     output_.append(bytes);
@@ -269,6 +279,7 @@
   if (ec && ec != net::error::would_block) return Close();
   if (n == bytes.size()) return;
   output_.assign(bytes.substr(n));
+  CountBuffers();
   AwaitWritable();
 }
 
@@ -278,6 +289,7 @@
   const std::size_t n = socket_.write_some(net::buffer(output_), ec);
   if (ec && ec != net::error::would_block) return Close();
   output_.erase(0, n);
+  CountBuffers();
   if (!output_.empty()) AwaitWritable();
 }
 
@@ -314,7 +326,9 @@
   // Pipelined requests are handled once this call has returned.
   if (input_.empty()) return Read();
   net::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->last_progress_ = self->options_.clock.Now();
     if (self->state_ == State::kIdle) self->ParseInput();
+    self->CountBuffers();
     self->Read();
   });
 }
@@ -339,6 +353,8 @@
   }
   state_ = State::kClosed;
   socket_.close(ec);
+  FreeOutput();
+  FreeBuffers();
   const CallerCallbacks callbacks = std::exchange(callbacks_, {});
   if (unanswered && callbacks.on_disconnected) callbacks.on_disconnected();
 }
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Common/Types.h"
+#include "Overload/MemoryBudget.h"
 #include "Settings/Settings.h"
 
 namespace shallotbeam::gateway {
@@ -36,6 +37,7 @@
   // A stopped process is killed after this time.
   std::chrono::milliseconds stop_limit{8'000};
   int max_descriptors = 2'870;
+  int memory_mb = 512;  // of the host, for this process
 
   // Trade-off between the engine that caches the prompt and a shorter wait at
   // another one; see balancing::PlacementSearchOptions.
@@ -55,6 +57,13 @@
 // Time within which every change of the store must take effect.
 std::chrono::milliseconds ChangeLimit(const GatewaySettings& settings);
 
+// Number of connections of callers that the descriptors and the memory of the
+// host allow.
+std::size_t MaxConnections(const GatewaySettings& settings);
+
+// Memory for what is held for callers.
+overload::MemoryBudgetOptions MemoryOptions(const GatewaySettings& settings);
+
 // The typed keys, bound to `target`, which must outlive them.
 settings::Settings GatewayKeys(GatewaySettings* target);
 
