--- a/Source/Core/Forwarding/CallerConnection.cpp
+++ b/Source/Core/Forwarding/CallerConnection.cpp
@@ -43,12 +43,12 @@
 
 CallerConnection::CallerConnection(net::ip::tcp::socket socket, Options options)
     : socket_(std::move(socket)),
-      options_(options),
-      opened_(options.clock.Now()),
+      options_(std::move(options)),
+      opened_(options_.clock.Now()),
       state_since_(opened_),
       last_progress_(state_since_),
-      buffer_memory_(options.memory),
-      request_memory_(options.memory) {}
+      buffer_memory_(options_.memory),
+      request_memory_(options_.memory) {}
 
 void CallerConnection::Start() {
   error_code ec;
