--- a/Source/Core/Forwarding/CallerConnectionMemory.cpp
+++ b/Source/Core/Forwarding/CallerConnectionMemory.cpp
@@ -30,6 +30,11 @@
 // Assigning an empty string would keep the capacity.
 void Free(std::string& text) { std::string().swap(text); }
 
+// Short texts are kept in the string itself.
+std::size_t HeapBytes(const std::string& text) {
+  return text.capacity() < sizeof(text) ? 0 : text.capacity();
+}
+
 // Memory for the fields of a head, each of which is an object of its own.
 std::size_t HeadBytes(const Fields& fields) {
   constexpr std::size_t kFieldBytes = 80;
@@ -96,7 +101,7 @@
 void CallerConnection::CountBuffers() {
   if (input_.empty() && input_.capacity() > kMaxIdleBuffer) Free(input_);
   if (output_.empty() && output_.capacity() > kMaxIdleBuffer) Free(output_);
-  buffer_memory_.Set(input_.capacity() + output_.capacity());
+  buffer_memory_.Set(HeapBytes(input_) + HeapBytes(output_));
 }
 
 void CallerConnection::FreeBuffers() {
