Fetch a shared prefix only from an engine whose scheduler responds

With weighed placement the preferred engine counted as a source of the prefix even while it was silent, so that each further engine looked cheap although it had to process the prefix again. Then an engine that this gateway sent the prefix to is the source; without one the prefix counts as to be processed. Ranked placement is unchanged.

--- a/Source/Core/Balancing/PlacementSearch.cpp
+++ b/Source/Core/Balancing/PlacementSearch.cpp
@@ -16,10 +16,26 @@
              state.options.tolerated_wait;
 }
 
-CachedPrefix BestCacheSource(const Search& search,
+// Returns the engine, other than `upstream`, to fetch the shared parts from. If
+// candidates are weighed, it is not one that may have crashed.
+CachedPrefix BestCacheSource(const PlacementState& state, common::TimePoint now,
+                             const Search& search,
                              const common::UpstreamName& upstream) {
-  return BestCacheSource(search.cached, search.request.preferred_engine,
-                         common::SharedTokens(search.request.prompt), upstream);
+  const SearchRequest& request = search.request;
+  const int shared = common::SharedTokens(request.prompt);
+  const CachedPrefix best = BestCacheSource(
+      search.cached, request.preferred_engine, shared, upstream);
+  if (state.options.order == PlacementOrder::kRanked ||
+      IsResponsive(state, now, best.upstream)) {
+    return best;
+  }
+  const std::uint64_t key = common::SharedPrefixKey(request.prompt);
+  for (const auto& it : RecentHolders(state.holders, now, key)) {
+    if (it != upstream && IsResponsive(state, now, it)) {
+      return {.upstream = it, .tokens = shared};
+    }
+  }
+  return {};
 }
 
 // What the engine has cached of the prompt's shared parts, as stated in its
@@ -53,11 +69,12 @@
       continue;
     }
     names.push_back(&it);
-    figures.push_back({.wait = view.expected_wait,
-                       .ns_per_token = view.ns_per_token,
-                       .held_tokens = HeldTokens(state, now, search, it),
-                       .fetchable_tokens = BestCacheSource(search, it).tokens,
-                       .position = own_position});
+    figures.push_back(
+        {.wait = view.expected_wait,
+         .ns_per_token = view.ns_per_token,
+         .held_tokens = HeldTokens(state, now, search, it),
+         .fetchable_tokens = BestCacheSource(state, now, search, it).tokens,
+         .position = own_position});
   }
   const bool is_weighed = state.options.order == PlacementOrder::kWeighed;
   const double median_ns =
@@ -105,12 +122,12 @@
                           .upstream = *next,
                           .sent = now,
                           .repeat_at = now + state.options.repeat_after};
-  actions->push_back(
-      SendOffer{.search = search.request.id,
-                .upstream = *next,
-                .number = number,
-                .first = first,
-                .fetchable_tokens = BestCacheSource(search, *next).tokens});
+  actions->push_back(SendOffer{
+      .search = search.request.id,
+      .upstream = *next,
+      .number = number,
+      .first = first,
+      .fetchable_tokens = BestCacheSource(state, now, search, *next).tokens});
 }
 
 // Ends the search without a start if it has no open offer.
@@ -222,7 +239,7 @@
                        common::SharedTokens(search.request.prompt));
   }
   if (reply.decision == common::OfferDecision::kStart) {
-    const CachedPrefix source = BestCacheSource(search, upstream);
+    const CachedPrefix source = BestCacheSource(state, now, search, upstream);
     const common::UpstreamName preferred_engine =
         search.request.preferred_engine;
     const std::uint64_t prefix_key =
@@ -299,13 +316,13 @@
     it.repeat_at = now + state.options.refresh_interval;
     const auto search = state.searches.find(it.search);
     if (search == state.searches.end()) continue;
-    actions->push_back(
-        SendOffer{.search = it.search,
-                  .upstream = it.upstream,
-                  .number = number,
-                  .first = it.first,
-                  .fetchable_tokens =
-                      BestCacheSource(search->second, it.upstream).tokens});
+    actions->push_back(SendOffer{
+        .search = it.search,
+        .upstream = it.upstream,
+        .number = number,
+        .first = it.first,
+        .fetchable_tokens =
+            BestCacheSource(state, now, search->second, it.upstream).tokens});
   }
 }
 
--- a/Source/Core/Balancing/PrefixHolders.cpp
+++ b/Source/Core/Balancing/PrefixHolders.cpp
@@ -65,15 +65,24 @@
   engines.push_back({.upstream = upstream, .last_sent = now});
 }
 
+std::vector<common::UpstreamName> RecentHolders(const PrefixHolders& holders,
+                                                common::TimePoint now,
+                                                std::uint64_t prefix_key) {
+  std::vector<common::UpstreamName> names;
+  const auto found = holders.engines.find(prefix_key);
+  if (found == holders.engines.end()) return names;
+  names.reserve(found->second.size());
+  for (auto it = found->second.rbegin(); it != found->second.rend(); ++it) {
+    if (now - it->last_sent > holders.options.lifetime) break;
+    names.push_back(it->upstream);
+  }
+  return names;
+}
+
 bool IsHolder(const PrefixHolders& holders, common::TimePoint now,
               std::uint64_t prefix_key, const common::UpstreamName& upstream) {
-  const auto found = holders.engines.find(prefix_key);
-  return found != holders.engines.end() &&
-         std::any_of(found->second.begin(), found->second.end(),
-                     [&](const PrefixHolders::Holder& it) {
-                       return it.upstream == upstream &&
-                              now - it.last_sent <= holders.options.lifetime;
-                     });
+  const auto names = RecentHolders(holders, now, prefix_key);
+  return std::find(names.begin(), names.end(), upstream) != names.end();
 }
 
 void ForgetHolder(PrefixHolders& holders,
--- a/Source/Core/Balancing/PrefixHolders.h
+++ b/Source/Core/Balancing/PrefixHolders.h
@@ -63,6 +63,11 @@
 bool IsHolder(const PrefixHolders& holders, common::TimePoint now,
               std::uint64_t prefix_key, const common::UpstreamName& upstream);
 
+// Returns the engines that hold the prefix, the latest one first.
+std::vector<common::UpstreamName> RecentHolders(const PrefixHolders& holders,
+                                                common::TimePoint now,
+                                                std::uint64_t prefix_key);
+
 // Forgets an engine that has restarted or left.
 void ForgetHolder(PrefixHolders& holders, const common::UpstreamName& upstream);
 
--- a/Source/UnitTests/Core/Balancing/PlacementLoadTest.cpp
+++ b/Source/UnitTests/Core/Balancing/PlacementLoadTest.cpp
@@ -118,6 +118,7 @@
     simulation.engines.push_back({.name = names.back()});
   }
   std::vector<const common::UpstreamName*> pointers;
+  pointers.reserve(names.size());
   for (const auto& it : names) pointers.push_back(&it);
   std::vector<std::vector<std::size_t>> ranked(kPrefixes);
   for (int i = 0; i < kPrefixes; ++i) {
--- a/Source/UnitTests/Core/Balancing/PlacementSearchTest.cpp
+++ b/Source/UnitTests/Core/Balancing/PlacementSearchTest.cpp
@@ -375,6 +375,25 @@
   BOOST_CHECK(FirstOffer(5'000) == kA);
 }
 
+// Nothing can be fetched from a crashed engine. The prefix must stay where it
+// was sent since, instead of being processed again by each next engine.
+BOOST_AUTO_TEST_CASE(PrefixOfASilentEngineStaysAtItsHolder) {
+  const common::UpstreamName silent("silent");
+  HearLoad(kA, 200ms);
+  BOOST_REQUIRE(FirstOffer(5'000, silent) == kB);
+  BOOST_CHECK_EQUAL(ActionsOf<SendOffer>()[0].fetchable_tokens, 0);
+  Reply(kB, LastOfferTo(kB), common::OfferDecision::kStart);
+  BOOST_CHECK(ActionsOf<StartAt>()[0].cache_source.empty());
+  HearLoad(kA, 0ms);
+  HearLoad(kB, 5ms);
+  BOOST_CHECK(FirstOffer(5'000, silent) == kB);
+  // The holder is worth fetching from if it is busy for longer.
+  HearLoad(kB, 50ms);
+  BOOST_CHECK(FirstOffer(5'000, silent) == kA);
+  Reply(kA, LastOfferTo(kA), common::OfferDecision::kStart);
+  BOOST_CHECK(ActionsOf<StartAt>()[0].cache_source == kB);
+}
+
 // A gateway that never heard a prefill time, or only absurd ones, must still
 // place requests.
 BOOST_AUTO_TEST_CASE(AbsurdReportsAreIgnored) {
@@ -406,9 +425,10 @@
     it.FirstOffer(shared);
     // Each engine starts the request after the time that it really takes,
     // whatever its last report said. Some offers, replies and reports are lost.
+    const std::array engines = {kA, kB, kC};
     std::size_t outcomes = 0;
     for (std::size_t step = 0; step < 60 && outcomes == 0; ++step) {
-      const auto& name = std::array{kA, kB, kC}.at(step % 3);
+      const auto& name = engines.at(step % 3);
       if (step < waits.size() && !lost[step]) {
         it.HearLoad(name, std::chrono::milliseconds(waits[step]));
       }
