--- a/Source/Core/Balancing/PlacementSearch.cpp
+++ b/Source/Core/Balancing/PlacementSearch.cpp
@@ -23,8 +23,8 @@
                              const common::UpstreamName& upstream) {
   const SearchRequest& request = search.request;
   const int shared = common::SharedTokens(request.prompt);
-  const CachedPrefix best = BestCacheSource(
-      search.cached, request.preferred_engine, shared, upstream);
+  CachedPrefix best = BestCacheSource(search.cached, request.preferred_engine,
+                                      shared, upstream);
   if (state.options.order == PlacementOrder::kRanked ||
       IsResponsive(state, now, best.upstream)) {
     return best;
