Reserve engines for long prompts by their demand

Cause: long prompts went to a fixed eighth of the engines.

Change: each gateway reserves the fraction that long prompts make up of the unshared tokens it receives, forgotten over 20 s, from an eighth to a half, in changes of 0.08.

--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -121,6 +121,7 @@
                         .caller_connections = caller_server_.Connections(),
                         .upstreams = usable,
                         .passing_share = load_shedder_.share,
+                        .long_prompt_fraction = LargestLongPromptFraction(),
                         .ready = IsReady(),
                         .store_age = StoreAge(),
                         .configuration_version = VersionOf(table_.get()),
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -12,6 +12,7 @@
 
 #include "Balancing/Affinity.h"
 #include "Balancing/Ejection.h"
+#include "Balancing/LongPromptDemand.h"
 #include "Balancing/LongPromptPartition.h"
 #include "Balancing/UpstreamTable.h"
 #include "Catalogue/RouteTable.h"
@@ -207,6 +208,13 @@
   std::vector<const common::UpstreamName*> AvailableUpstreams(
       const common::PoolName& pool) const;
   std::vector<const common::UpstreamName*> Candidates(const Call& call) const;
+  // Whether the prompt is long for the engines known; absent if none is.
+  std::optional<bool> HasLongPrompt(const Call& call) const;
+  void RecordPromptDemand(const Call& call);
+  std::optional<double> LargestLongPromptFraction() const;
+  balancing::EnginePartition PartitionByDemand(
+      const Call& call,
+      const std::vector<const common::UpstreamName*>& ranked) const;
   std::vector<const common::UpstreamName*> FilterByPromptLength(
       const Call& call, const std::vector<const common::UpstreamName*>& ranked,
       const balancing::EnginePartition& weighted_pools) const;
@@ -268,6 +276,8 @@
   // Requests of this gateway in flight, by upstream.
   std::unordered_map<common::UpstreamName, int> in_flight_;
   SchedulerClient scheduler_client_;
+  std::unordered_map<common::PoolName, balancing::LongPromptDemand>
+      long_prompt_demand_;
   // Limits that upstreams state, and the permits to start requests there.
   pacing::LimitTable stated_limits_;
   std::unordered_map<common::UpstreamName, ReportedLimit> reported_limits_;
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -139,24 +139,6 @@
       0, least_loaded.size() - 1)(random_)];
 }
 
-// Long prompts go to the engines that are reserved for them, all other prompts
-// to the remaining engines. If no scheduler of the chosen group responds, all
-// engines are candidates.
-std::vector<const common::UpstreamName*> Gateway::FilterByPromptLength(
-    const Call& call, const std::vector<const common::UpstreamName*>& ranked,
-    const balancing::EnginePartition& weighted_pools) const {
-  const auto prefill_ns = scheduler_client_.PrefillNsPerToken();
-  if (!prefill_ns) return ranked;
-  const bool is_long = balancing::IsLongPrompt(
-      {}, *call.metadata.prompt, *prefill_ns, call.route->event_gap_target);
-  const auto& group =
-      is_long ? weighted_pools.long_prompt_engines : weighted_pools.others;
-  const bool any_responsive = std::any_of(
-      group.begin(), group.end(),
-      [this](const auto* it) { return scheduler_client_.IsResponsive(*it); });
-  return any_responsive ? group : ranked;
-}
-
 // Returns the time until an upstream of the call's pool takes requests again;
 // zero if one takes them now or none will.
 common::Duration Gateway::ShortestPause(const Call& call) const {
@@ -181,10 +163,11 @@
   const auto candidates = Candidates(call);
   if (candidates.empty()) return RespondNoUpstream(call);
   if (!call.metadata.prompt) return DispatchToService(call, candidates);
+  if (call.attempts == 0) RecordPromptDemand(call);
   const auto ranked = balancing::RankByPrefix(
       common::SharedPrefixKey(*call.metadata.prompt), candidates);
   const balancing::EnginePartition weighted_pools =
-      balancing::PartitionEngines({}, ranked);
+      PartitionByDemand(call, ranked);
   // The preferred engine is expected to cache the shared prefix of the prompt.
   call.preferred_engine = weighted_pools.others.empty()
                               ? common::UpstreamName()
@@ -273,8 +256,8 @@
     Call& call, const std::vector<const common::UpstreamName*>& candidates) {
   const auto ranked = balancing::RankByPrefix(
       common::SharedPrefixKey(*call.metadata.prompt), candidates);
-  const auto group = FilterByPromptLength(
-      call, ranked, balancing::PartitionEngines({}, ranked));
+  const auto group =
+      FilterByPromptLength(call, ranked, PartitionByDemand(call, ranked));
   std::vector<int> loads;
   loads.reserve(group.size());
   for (const auto* it : group) loads.push_back(in_flight_[*it]);
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -93,6 +93,9 @@
   set("caller_connections", static_cast<double>(gauges.caller_connections));
   set("upstreams", static_cast<double>(gauges.upstreams));
   set("passing_share", gauges.passing_share);
+  if (gauges.long_prompt_fraction) {
+    set("long_prompt_fraction", *gauges.long_prompt_fraction);
+  }
   set("ready", gauges.ready ? 1 : 0);
   if (gauges.store_age) set("store_age_seconds", Seconds(*gauges.store_age));
   set("configuration_version",
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -24,6 +24,9 @@
   std::size_t upstreams = 0;  // that accept requests
   // Fraction of the offered load that the load shedder admits.
   double passing_share = 1;
+  // Largest fraction of a pool's engines that is reserved for long prompts;
+  // absent before the first prompt.
+  std::optional<double> long_prompt_fraction;
   bool ready = false;
   std::optional<common::Duration> store_age;  // absent before the first list
   std::uint64_t configuration_version = 0;
