--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -124,6 +124,7 @@
                         .passing_share = load_shedder_.share,
                         .evacuated_data_centres = upstreams_.evacuated.size(),
                         .cold_upstreams = cold_.size(),
+                        .long_prompt_fraction = LargestLongPromptFraction(),
                         .ready = IsReady(),
                         .store_age = StoreAge(),
                         .configuration_version = VersionOf(table_.get()),
--- a/Source/Core/Gateway/GatewayMetrics.cpp
+++ b/Source/Core/Gateway/GatewayMetrics.cpp
@@ -97,6 +97,9 @@
   set("evacuated_data_centres",
       static_cast<double>(gauges.evacuated_data_centres));
   set("cold_upstreams", static_cast<double>(gauges.cold_upstreams));
+  if (gauges.long_prompt_fraction) {
+    set("long_prompt_fraction", *gauges.long_prompt_fraction);
+  }
   set("ready", gauges.ready ? 1 : 0);
   if (gauges.store_age) set("store_age_seconds", Seconds(*gauges.store_age));
   set("configuration_version",
--- a/Source/Core/Gateway/GatewayMetrics.h
+++ b/Source/Core/Gateway/GatewayMetrics.h
@@ -27,6 +27,9 @@
   double passing_share = 1;
   std::size_t evacuated_data_centres = 0;
   std::size_t cold_upstreams = 0;  // that get a limited number of requests
+  // Largest fraction of a pool's engines that is reserved for long prompts;
+  // absent before the first prompt.
+  std::optional<double> long_prompt_fraction;
   bool ready = false;
   std::optional<common::Duration> store_age;  // absent before the first list
   std::uint64_t configuration_version = 0;
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -8,6 +8,7 @@
 
 constexpr const char* kRequired = "required";
 constexpr const char* kWeighed = "weighed";
+constexpr const char* kByDemand = "by_demand";
 constexpr std::chrono::milliseconds kMinDuration{1};
 constexpr std::chrono::milliseconds kMaxDuration = std::chrono::hours(1);
 constexpr int kLargestMaxOffers = 100;
@@ -34,6 +35,10 @@
   return settings.placement == kWeighed;
 }
 
+bool FollowsLongPrompts(const GatewaySettings& settings) {
+  return settings.long_prompt_engines == kByDemand;
+}
+
 bool IsRelay(const GatewaySettings& settings) {
   return std::any_of(settings.relays.begin(), settings.relays.end(),
                      [&settings](const common::Endpoint& it) {
@@ -116,6 +121,10 @@
                        "place in its cache order, or by expected time to the "
                        "first event",
                        {"ranked", kWeighed}, &target->placement),
+      settings::Choice("long-prompt-engines",
+                       "engines reserved for long prompts: an eighth, or as "
+                       "many as their demand needs",
+                       {"fixed", kByDemand}, &target->long_prompt_engines),
       Milliseconds("away-penalty-ms",
                    "wait that is accepted at the engine with the cached prompt "
                    "before another is preferred",
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -41,6 +41,8 @@
 
   // "ranked" or "weighed": how the engine of a prompt is chosen.
   std::string placement = "ranked";
+  // "fixed" or "by_demand": how many engines are reserved for long prompts.
+  std::string long_prompt_engines = "fixed";
   // Trade-off between the engine that caches the prompt and a shorter wait at
   // another one; see balancing::PlacementSearchOptions.
   std::chrono::milliseconds away_penalty{60};
@@ -53,6 +55,9 @@
 // Whether the wait at an engine is weighed against what its cache saves.
 bool WeighsPlacement(const GatewaySettings& settings);
 
+// Whether the engines reserved for long prompts follow their demand.
+bool FollowsLongPrompts(const GatewaySettings& settings);
+
 // Whether this gateway is one of the relays.
 bool IsRelay(const GatewaySettings& settings);
 
