Accept connections at the rate that the quota of processor time allows

Cause: on small entry hosts the load shedder swings with a period of 6 s, and a busy event loop accepts one connection in a pass, so that the backlog overflows while the listener is open.

Change: with the setting cpu_share, a controller measures the processor time used, estimates the cost of a connection, and permits connections for each tick; the server accepts what waits, closes the listener when the permitted ones have come, and keeps open connections. A host that refuses for long says not ready. The shedder then acts only above 40 ms.

--- a/Source/Core/Forwarding/CallerServer.cpp
+++ b/Source/Core/Forwarding/CallerServer.cpp
@@ -59,11 +59,27 @@
 void CallerServer::SetAccepting(bool accepting) {
   if (accepting == acceptor_.is_open()) return;
   if (accepting) return Reopen();
-  AcceptPending();
+  CloseAcceptor();
+  for (const auto& it : connections_) it->CloseAfterNextResponse();
+}
+
+void CallerServer::SetPermitted(std::size_t connections) {
+  permitted_ = accepted_ + connections;
+  if (!acceptor_.is_open()) {
+    if (connections > 0) Reopen();
+    return;
+  }
+  // A busy event loop accepts one connection in each pass, so that the backlog
+  // would overflow.
+  AcceptPending(connections);
+  if (accepted_ >= *permitted_) CloseAcceptor();
+}
+
+void CallerServer::CloseAcceptor() {
+  AcceptPending(kAcceptBacklog);
   error_code ec;
   acceptor_.close(ec);
   accept_retry_timer_.cancel();
-  for (const auto& it : connections_) it->CloseAfterNextResponse();
 }
 
 void CallerServer::Reopen() {
@@ -80,6 +96,7 @@
     if (ec == net::error::operation_aborted || !acceptor_.is_open()) return;
     if (!ec && HasRoom()) {
       Add(std::move(socket));
+      if (permitted_ && accepted_ >= *permitted_) return CloseAcceptor();
       return Accept();
     }
     common::Log(common::Subsystem::kTransport, common::LogLevel::kWarning,
@@ -101,9 +118,9 @@
   });
 }
 
-void CallerServer::AcceptPending() {
+void CallerServer::AcceptPending(std::size_t most) {
   acceptor_.non_blocking(true);
-  for (int i = 0; i < kAcceptBacklog; ++i) {
+  for (std::size_t i = 0; i < most; ++i) {
     tcp::socket socket(acceptor_.get_executor());
     error_code ec;
     acceptor_.accept(socket, ec);
@@ -116,6 +133,7 @@
   const auto connection =
       std::make_shared<CallerConnection>(std::move(socket), options_);
   connections_.push_back(connection);
+  ++accepted_;
   connection->Start();
   if (draining_ || IsHalfFull()) connection->CloseAfterNextResponse();
 }
--- a/Source/Core/Forwarding/CallerServer.h
+++ b/Source/Core/Forwarding/CallerServer.h
@@ -4,7 +4,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "Common/Types.h"
@@ -30,6 +32,12 @@
   // ones end after their current response.
   void SetAccepting(bool accepting);
 
+  // Accepts this many connections until the next call. Then, and at 0, new
+  // connections are refused as above, but open ones stay.
+  void SetPermitted(std::size_t connections);
+  // Number of connections accepted since the start.
+  std::uint64_t Accepted() const { return accepted_; }
+
   // Whether any caller has sent a part of a request, read or not, that is not
   // answered completely.
   bool HasUnansweredRequests() const;
@@ -51,9 +59,11 @@
   // Listens again after the acceptor was closed.
   void Reopen();
   void Accept();
-  // Accepts the connections in the listen backlog. Closing the acceptor would
-  // reset them although their requests may have arrived.
-  void AcceptPending();
+  // Accepts at most this many connections in the listen backlog. Closing the
+  // acceptor would reset them although their requests may have arrived.
+  void AcceptPending(std::size_t most);
+  // Stops listening; open connections stay.
+  void CloseAcceptor();
   void Add(boost::asio::ip::tcp::socket socket);
   // Whether another connection is allowed.
   bool HasRoom();
@@ -66,6 +76,9 @@
   std::vector<std::shared_ptr<CallerConnection>> connections_;
   common::Endpoint endpoint_;
   bool draining_ = false;
+  std::uint64_t accepted_ = 0;
+  // Value of `accepted_` at which to stop listening, if any.
+  std::optional<std::uint64_t> permitted_;
 };
 
 }  // namespace shallotbeam::forwarding
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -22,7 +22,6 @@
 constexpr common::Duration kMaxMissedChangeDelay = milliseconds(1'100);
 // Interval between checks of connection timeouts.
 constexpr common::Duration kConnectionCheckInterval = milliseconds(250);
-constexpr common::Duration kLoadLogInterval = std::chrono::seconds(1);
 // Retry-After for callers that are rejected because of the state of this
 // process; another gateway can serve them at once.
 constexpr common::Duration kOtherHostRetryAfter = milliseconds(50);
@@ -97,6 +96,11 @@
         platform_clients::TimingFor(ChangeLimit(settings_)).relay_max_age);
   }
   store_.options = SessionOptions(settings_);
+  if (settings_.cpu_share > 0 && environment_.processor != nullptr) {
+    accept_controller_.emplace();
+    accept_controller_->options.cpu_share = settings_.cpu_share;
+    load_shedder_.options = overload::OptionsBehindController();
+  }
 }
 
 absl::Status Gateway::Listen() {
@@ -109,7 +113,8 @@
 
 bool Gateway::IsReady() const {
   return table_ != nullptr && !draining_since_ &&
-         store_.confirmed_at.has_value() && !load_shedder_.overloaded;
+         store_.confirmed_at.has_value() && !load_shedder_.overloaded &&
+         !(accept_controller_ && accept_controller_->crowded);
 }
 
 std::string Gateway::MetricsText() {
@@ -132,17 +137,7 @@
   removed_calls_.clear();
   const common::TimePoint now = environment_.clock.Now();
   if (last_tick_ != common::TimePoint()) {
-    const bool overloaded = load_shedder_.overloaded;
-    const common::Duration late = now - last_tick_ - kTickInterval;
-    overload::OnTick(load_shedder_, now, late);
-    if (overloaded != load_shedder_.overloaded) {
-      Log(Subsystem::kMain, LogLevel::kWarning,
-          "event=processor_{} share={:.2f} late_ms={} calls={}",
-          overloaded ? "recovered" : "overloaded", load_shedder_.share,
-          load_shedder_.tick_delay / milliseconds(1), calls_.size());
-    }
-    caller_server_.SetAccepting(!load_shedder_.overloaded &&
-                                !listening_stopped_);
+    ControlLoad(now, now - last_tick_ - kTickInterval);
   }
   last_tick_ = now;
   SendStoreCall();
@@ -168,16 +163,6 @@
   upstream_connections_.CloseExpired(now);
 }
 
-void Gateway::LogLoad(common::TimePoint now) {
-  if (now < next_load_log_) return;
-  next_load_log_ = now + kLoadLogInterval;
-  Log(Subsystem::kMain, LogLevel::kInfo,
-      "event=load connections={} calls={} waiting={} late_ms={} "
-      "passing_share={:.2f}",
-      caller_server_.Connections(), calls_.size(), searches_.size(),
-      load_shedder_.tick_delay / milliseconds(1), load_shedder_.share);
-}
-
 SchedulerClient::InProgress Gateway::StartsInProgress() const {
   SchedulerClient::InProgress numbers;
   for (const auto& [call, owner] : calls_) {
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -25,7 +25,9 @@
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/SchedulerClient.h"
+#include "Overload/AcceptController.h"
 #include "Overload/LoadShedder.h"
+#include "Overload/ProcessorClock.h"
 #include "Pacing/PermitDesk.h"
 #include "Pacing/PermitSearch.h"
 #include "Pacing/StatedLimits.h"
@@ -58,6 +60,9 @@
       decode;
   // Sends a control message; never blocks.
   SchedulerClient::Send send;
+  // Used if the settings state a quota of processor time. Connections are not
+  // limited by it if null.
+  const overload::ProcessorClock* processor = nullptr;
 };
 
 // Serves callers: finds the route of a request, chooses its upstream, relays
@@ -236,6 +241,8 @@
   // Aborts the current attempt, if any.
   void AbortAttempt(Call& call);
   void RemoveCall(Call& call);
+  // Decides whether callers may connect; `late` is the delay of the tick.
+  void ControlLoad(common::TimePoint now, common::Duration late);
   void LogLoad(common::TimePoint now);
   void CheckDeadlines();
   // Ends the drain when all requests are answered or the time is up.
@@ -283,6 +290,9 @@
   std::vector<std::unique_ptr<Call>> removed_calls_;  // freed at the next tick
   std::unordered_map<common::PoolName, common::RetryBudget> retry_budgets_;
   overload::LoadShedder load_shedder_;
+  // If the settings state a quota of processor time.
+  std::optional<overload::AcceptController> accept_controller_;
+  std::uint64_t accepted_ = 0;  // connections, until the last tick
   GatewayMetrics metrics_;
   const common::TimePoint started_;
   common::TimePoint last_tick_;
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -338,7 +338,7 @@
   // If this process is late itself, the event gap may be its own and not the
   // engine's.
   const bool on_time =
-      load_shedder_.tick_delay <= load_shedder_.options.tick_delay_limit;
+      load_shedder_.tick_delay <= load_shedder_.options.on_time_limit;
   if (too_long && first && on_time) {
     scheduler_client_.ReportProgress(call.grant,
                                      protocol::StartStage::kStalled);
--- a/Source/Core/Gateway/GatewayProcess.cpp
+++ b/Source/Core/Gateway/GatewayProcess.cpp
@@ -77,6 +77,7 @@
                         const Deployment& deployment) {
   net::io_context context(1);
   const common::BootClock clock;
+  const overload::ProcessClock processor;
   transport::HttpClient client(context, clock, ControlClientOptions());
   const auto store = deployment.make_store(client, settings.store);
   platform_clients::RelayedStore relayed_store(*store, client, clock,
@@ -89,9 +90,9 @@
        .store = relayed_store,
        .header_codec = deployment.header_codec,
        .decode = deployment.decode,
-       .send = [&sender](const common::Endpoint& peer, std::string_view bytes) {
-         sender.Send(peer, bytes);
-       }});
+       .send = [&sender](const common::Endpoint& peer,
+                         std::string_view bytes) { sender.Send(peer, bytes); },
+       .processor = &processor});
   const auto inbox = transport::DatagramReceiver::Open(
       context, settings.control,
       [&gateway](std::string_view bytes) { gateway.OnControlMessage(bytes); });
--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
 namespace shallotbeam::gateway {
 
 namespace {
@@ -12,6 +15,31 @@
 constexpr int kLargestMaxOffers = 100;
 constexpr int kMinDescriptors = 64;
 constexpr int kMaxDescriptors = 1'048'576;
+constexpr double kMaxCpuShare = 1'024;
+
+settings::Setting CpuShare(double* target) {
+  return {.name = "cpu-share",
+          .expected = absl::StrCat("a number from 0 to ", kMaxCpuShare),
+          .default_value = absl::StrCat(*target),
+          .unit = {},
+          .description =
+              "quota of processor time of this host, as a fraction of a core; "
+              "new connections are accepted at the rate that it allows, 0 for "
+              "no quota",
+          .number = true,
+          .parse =
+              [target](const std::string& text) {
+                double value = 0;
+                // Rejects NaN, too.
+                if (!absl::SimpleAtod(text, &value) ||
+                    !(value >= 0 && value <= kMaxCpuShare)) {
+                  return false;
+                }
+                *target = value;
+                return true;
+              },
+          .clear = {}};
+}
 
 }  // namespace
 
@@ -80,6 +108,7 @@
       settings::Number("max-descriptors", "file descriptors of this process",
                        kMinDescriptors, kMaxDescriptors,
                        &target->max_descriptors),
+      CpuShare(&target->cpu_share),
       Milliseconds("away-penalty-ms",
                    "wait that is accepted at the engine with the cached prompt "
                    "before another is preferred",
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -36,6 +36,8 @@
   // A stopped process is killed after this time.
   std::chrono::milliseconds stop_limit{8'000};
   int max_descriptors = 2'870;
+  // Quota of processor time, as a fraction of a core; 0 if there is none.
+  double cpu_share = 0;
 
   // Trade-off between the engine that caches the prompt and a shorter wait at
   // another one; see balancing::PlacementSearchOptions.
--- a/Source/Core/Overload/LoadShedder.cpp
+++ b/Source/Core/Overload/LoadShedder.cpp
@@ -26,6 +26,16 @@
 
 }  // namespace
 
+LoadShedderOptions OptionsBehindController() {
+  LoadShedderOptions options;
+  // A process that has used up its quota stands still for up to this long, and
+  // callers accept that.
+  options.tick_delay_limit = std::chrono::milliseconds(40);
+  options.max_tick_delay = std::chrono::milliseconds(120);
+  options.increase = 0.05;
+  return options;
+}
+
 void OnTick(LoadShedder& shedder, common::TimePoint now,
             common::Duration late) {
   const LoadShedderOptions& options = shedder.options;
--- a/Source/Core/Overload/LoadShedder.h
+++ b/Source/Core/Overload/LoadShedder.h
@@ -19,6 +19,8 @@
   // processor time left. In an idle process ticks are late by a millisecond or
   // two.
   common::Duration tick_delay_limit = std::chrono::milliseconds(10);
+  // Up to this mean delay of its ticks, the process is on time.
+  common::Duration on_time_limit = std::chrono::milliseconds(10);
   double tick_delay_weight = 0.15;  // weight of the newest tick in the mean
   // A tick counts as at most this late, so that only repeated late ticks
   // indicate overload; a single one after a suspension of the host does not.
@@ -41,6 +43,10 @@
   common::Duration time_constant = std::chrono::seconds(1);
 };
 
+// Options of a shedder whose gateway accepts connections only as its quota of
+// processor time allows, and which acts where that is not enough.
+LoadShedderOptions OptionsBehindController();
+
 struct LoadShedder {
   LoadShedderOptions options;
   common::Duration tick_delay{0};  // exponential moving average
--- a/Source/UnitTests/Core/Forwarding/CallerServerTest.cpp
+++ b/Source/UnitTests/Core/Forwarding/CallerServerTest.cpp
@@ -159,6 +159,35 @@
   BOOST_CHECK(!Receive(waiting).empty());
 }
 
+// Load pattern: callers connect faster than the host has processor time for.
+// Guards against a server that takes more than was permitted, that cuts callers
+// whose requests have arrived, that closes open connections, or that stays
+// closed after more is permitted.
+BOOST_AUTO_TEST_CASE(ListenerClosesWhenThePermittedConnectionsHaveCome) {
+  server.SetPermitted(2);
+  SendAndReceive();
+  net::ip::tcp::socket& kept = sockets.back();
+  net::ip::tcp::socket& second = Connect();
+  net::ip::tcp::socket& pending = Connect();
+  BOOST_CHECK(!Receive(second).empty());
+  BOOST_CHECK(!Receive(pending).empty());
+  BOOST_CHECK_EQUAL(server.Accepted(), 3);
+  net::ip::tcp::socket refused(context);
+  boost::system::error_code ec;
+  const net::ip::tcp::endpoint address(net::ip::make_address("127.0.0.1"),
+                                       server.Port());
+  refused.connect(address, ec);
+  BOOST_CHECK(ec == net::error::connection_refused);
+  SendRequest(kept);
+  BOOST_CHECK_EQUAL(Receive(kept).find("Connection: close"), std::string::npos);
+  server.SetPermitted(0);
+  refused = net::ip::tcp::socket(context);
+  refused.connect(address, ec);
+  BOOST_CHECK(ec == net::error::connection_refused);
+  server.SetPermitted(1);
+  BOOST_CHECK(!SendAndReceive().empty());
+}
+
 // Guards against connections that are closed although more are allowed.
 BOOST_AUTO_TEST_CASE(ConnectionsAreKeptWhileThereIsRoom) {
   for (std::size_t i = 0; i < kMaxConnections / 2; ++i) {
