--- a/Source/Core/Gateway/GatewaySettings.cpp
+++ b/Source/Core/Gateway/GatewaySettings.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
 namespace shallotbeam::gateway {
 
 namespace {
@@ -24,6 +27,31 @@
 constexpr std::size_t kConnectionPart = 3;
 constexpr std::size_t kConnectionBytes = 32'768;
 constexpr int kMaxMemoryMb = 1'048'576;
+constexpr double kMaxCpuShare = 1'024;
+
+settings::Setting CpuShare(double* target) {
+  return {.name = "cpu-share",
+          .expected = absl::StrCat("a number from 0 to ", kMaxCpuShare),
+          .default_value = absl::StrCat(*target),
+          .unit = {},
+          .description =
+              "quota of processor time of this host, as a fraction of a core; "
+              "new connections are accepted at the rate that it allows, 0 for "
+              "no quota",
+          .number = true,
+          .parse =
+              [target](const std::string& text) {
+                double value = 0;
+                // Rejects NaN, too.
+                if (!absl::SimpleAtod(text, &value) ||
+                    !(value >= 0 && value <= kMaxCpuShare)) {
+                  return false;
+                }
+                *target = value;
+                return true;
+              },
+          .clear = {}};
+}
 
 }  // namespace
 
@@ -125,6 +153,7 @@
                        "engines reserved for long prompts: an eighth, or as "
                        "many as their demand needs",
                        {"fixed", kByDemand}, &target->long_prompt_engines),
+      CpuShare(&target->cpu_share),
       Milliseconds("away-penalty-ms",
                    "wait that is accepted at the engine with the cached prompt "
                    "before another is preferred",
--- a/Source/Core/Gateway/GatewaySettings.h
+++ b/Source/Core/Gateway/GatewaySettings.h
@@ -38,6 +38,8 @@
   std::chrono::milliseconds stop_limit{8'000};
   int max_descriptors = 2'870;
   int memory_mb = 512;  // of the host, for this process
+  // Quota of processor time, as a fraction of a core; 0 if there is none.
+  double cpu_share = 0;
 
   // "ranked" or "weighed": how the engine of a prompt is chosen.
   std::string placement = "ranked";
