--- a/Source/UnitTests/Fleet/HostileCallersTest.cpp
+++ b/Source/UnitTests/Platform/HostileCallersTest.cpp
@@ -1,10 +1,10 @@
 #include <boost/test/unit_test.hpp>
 
-#include "Fleet/HostileFixture.h"
+#include "Platform/HostileFixture.h"
 
 // Callers that nobody controls must not end a gateway: what it holds for them
 // stays within its memory, and ordinary callers are served beside them.
-namespace shallotbeam::fleet {
+namespace shallotbeam::platform_adapter {
 
 namespace {
 
@@ -98,4 +98,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace shallotbeam::fleet
+}  // namespace shallotbeam::platform_adapter
--- a/Source/UnitTests/Fleet/HostileFixture.cpp
+++ b/Source/UnitTests/Platform/HostileFixture.cpp
@@ -1,4 +1,4 @@
-#include "Fleet/HostileFixture.h"
+#include "Platform/HostileFixture.h"
 
 #include <fmt/format.h>
 
@@ -16,7 +16,7 @@
 #include "Transport/HttpServer.h"
 #include "absl/strings/escaping.h"
 
-namespace shallotbeam::fleet {
+namespace shallotbeam::platform_adapter {
 
 namespace {
 
@@ -325,4 +325,4 @@
   return text;
 }
 
-}  // namespace shallotbeam::fleet
+}  // namespace shallotbeam::platform_adapter
--- a/Source/UnitTests/Fleet/HostileFixture.h
+++ b/Source/UnitTests/Platform/HostileFixture.h
@@ -1,5 +1,5 @@
-#ifndef SHALLOTBEAM_UNITTESTS_FLEET_HOSTILEFIXTURE_H_
-#define SHALLOTBEAM_UNITTESTS_FLEET_HOSTILEFIXTURE_H_
+#ifndef SHALLOTBEAM_UNITTESTS_PLATFORM_HOSTILEFIXTURE_H_
+#define SHALLOTBEAM_UNITTESTS_PLATFORM_HOSTILEFIXTURE_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,7 +14,7 @@
 
 // A gateway process in front of one upstream, and a crowd of callers that keep
 // their connections open.
-namespace shallotbeam::fleet {
+namespace shallotbeam::platform_adapter {
 
 // Limits of the gateway under test. The crowds below hold several times this
 // memory if nothing bounds what the gateway keeps for them.
@@ -77,6 +77,6 @@
   double peak_mb_ = 0;
 };
 
-}  // namespace shallotbeam::fleet
+}  // namespace shallotbeam::platform_adapter
 
-#endif  // SHALLOTBEAM_UNITTESTS_FLEET_HOSTILEFIXTURE_H_
+#endif  // SHALLOTBEAM_UNITTESTS_PLATFORM_HOSTILEFIXTURE_H_
