--- a/Source/Core/Forwarding/CallerConnectionMemory.cpp
+++ b/Source/Core/Forwarding/CallerConnectionMemory.cpp
@@ -32,7 +32,8 @@
 
 // Short texts are kept in the string itself.
 std::size_t HeapBytes(const std::string& text) {
-  return text.capacity() < sizeof(text) ? 0 : text.capacity();
+  constexpr std::size_t kMinHeapBytes = 32;
+  return text.capacity() < kMinHeapBytes ? 0 : text.capacity();
 }
 
 // Memory for the fields of a head, each of which is an object of its own.
