--- a/Source/UnitTests/Platform/HostileFixture.cpp
+++ b/Source/UnitTests/Platform/HostileFixture.cpp
@@ -58,7 +58,6 @@
 
 int OpenDescriptors(pid_t pid) {
   int n = 0;
-  error_code ec;
   const auto folder = fmt::format("/proc/{}/fd", pid);
   std::error_code ignored;
   for ([[maybe_unused]] const auto& it :
