Compute cache figures only where they are weighed, and look up cold limits once

Cause: with ranked placement, the default, each offer computed what every candidate holds and could fetch, which nothing read; two functions looked up the cold limit of a pool in the same way; a comment referred to a line that had moved to another file. Change: the figures are computed only for weighed placement, one function finds the limit, the comment stands on its own. Behaviour is the same. Balancing 74 and Gateway 107 cases pass; format and lint of the three files pass.

--- a/Source/Core/Balancing/PlacementSearch.cpp
+++ b/Source/Core/Balancing/PlacementSearch.cpp
@@ -56,6 +56,9 @@
 const common::UpstreamName* NextCandidate(const PlacementState& state,
                                           common::TimePoint now,
                                           const Search& search) {
+  const bool is_weighed = state.options.order == PlacementOrder::kWeighed;
+  const double median_ns =
+      is_weighed ? MedianPrefillTime(state.schedulers).value_or(0) : 0;
   std::vector<const common::UpstreamName*> names;
   std::vector<CandidateFigures> figures;
   int position = 0;
@@ -69,16 +72,14 @@
       continue;
     }
     names.push_back(&it);
-    figures.push_back(
-        {.wait = view.expected_wait,
-         .ns_per_token = view.ns_per_token,
-         .held_tokens = HeldTokens(state, now, search, it),
-         .fetchable_tokens = BestCacheSource(state, now, search, it).tokens,
-         .position = own_position});
+    figures.push_back({.wait = view.expected_wait,
+                       .ns_per_token = view.ns_per_token,
+                       .position = own_position});
+    if (median_ns <= 0) continue;
+    figures.back().held_tokens = HeldTokens(state, now, search, it);
+    figures.back().fetchable_tokens =
+        BestCacheSource(state, now, search, it).tokens;
   }
-  const bool is_weighed = state.options.order == PlacementOrder::kWeighed;
-  const double median_ns =
-      is_weighed ? MedianPrefillTime(state.schedulers).value_or(0) : 0;
   const common::Prompt& prompt = search.request.prompt;
   const auto chosen =
       median_ns > 0
--- a/Source/Core/Forwarding/CallerConnectionMemory.cpp
+++ b/Source/Core/Forwarding/CallerConnectionMemory.cpp
@@ -19,7 +19,8 @@
 constexpr std::size_t kMinBodyCapacity = 4'096;
 // Buffers beyond this size are freed when they are empty.
 constexpr std::size_t kMaxIdleBuffer = 16'384;
-// The same while the memory for callers is used up.
+// While the memory for callers is used up, a response is abandoned if the
+// caller reads nothing of it for this long.
 constexpr common::Duration kTightWriteTimeout = std::chrono::seconds(2);
 
 constexpr int kUnavailable = 503;
--- a/Source/Core/Gateway/GatewayColdStarts.cpp
+++ b/Source/Core/Gateway/GatewayColdStarts.cpp
@@ -12,6 +12,14 @@
 using common::Subsystem;
 using std::chrono::milliseconds;
 
+// Null if there is no configuration, or none of the pool.
+const pacing::ColdLimit* FindColdLimit(const catalogue::RouteTable* table,
+                                       const common::PoolName& pool) {
+  if (table == nullptr) return nullptr;
+  const auto it = table->Source().pools.find(pool);
+  return it == table->Source().pools.end() ? nullptr : &it->second.cold;
+}
+
 }  // namespace
 
 void Gateway::ApplyEvacuation(const EvacuationChange& change) {
@@ -22,11 +30,11 @@
       change.data_centre.value, change.requested, names.size());
   for (const common::UpstreamName& it : names) {
     UpdateEngine(it);
-    if (change.requested || table_ == nullptr) continue;
+    if (change.requested) continue;
     // Nothing has run there for a while, and the entry may be older than that.
-    const auto& pools = table_->Source().pools;
-    const auto pool = pools.find(upstreams_.upstreams.at(it).entry.pool);
-    if (pool != pools.end()) RecordCold(it, pool->second.cold.time);
+    const auto* limit =
+        FindColdLimit(table_.get(), upstreams_.upstreams.at(it).entry.pool);
+    if (limit != nullptr) RecordCold(it, limit->time);
   }
 }
 
@@ -64,14 +72,12 @@
     const common::UpstreamName& name) const {
   const auto period = cold_.find(name);
   const auto upstream = upstreams_.upstreams.find(name);
-  if (period == cold_.end() || upstream == upstreams_.upstreams.end() ||
-      table_ == nullptr) {
+  if (period == cold_.end() || upstream == upstreams_.upstreams.end()) {
     return std::nullopt;
   }
-  const auto& pools = table_->Source().pools;
-  const auto pool = pools.find(upstream->second.entry.pool);
-  if (pool == pools.end()) return std::nullopt;
-  return pacing::ColdRate(pool->second.cold, period->second, Now());
+  const auto* limit = FindColdLimit(table_.get(), upstream->second.entry.pool);
+  if (limit == nullptr) return std::nullopt;
+  return pacing::ColdRate(*limit, period->second, Now());
 }
 
 std::optional<double> Gateway::LimitInForce(
