Log the wait at other engines when a prompt is refused

The answer event did not tell a fleet without room from a group of engines without room. It now has long_prompt and elsewhere_ms.

--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -109,6 +109,8 @@
   bool within_share = true;
   // Shortest expected wait at the engines that declined the request.
   common::Duration declined_wait{0};
+  // Shortest wait at engines kept for prompts of another length, at that time.
+  std::optional<common::Duration> wait_elsewhere;
 
   common::UpstreamName upstream;  // of the current or last attempt
   common::TimePoint attempt_started;
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -249,6 +249,9 @@
   std::vector<const common::UpstreamName*> FilterByPromptLength(
       const Call& call, const std::vector<const common::UpstreamName*>& ranked,
       const balancing::EnginePartition& weighted_pools) const;
+  // Shortest wait at the engines that are kept for prompts of another length
+  // than that of the call; absent if there are none.
+  std::optional<common::Duration> WaitElsewhere(const Call& call) const;
   const common::UpstreamName* LeastLoaded(
       const std::vector<const common::UpstreamName*>& candidates);
   // Registers the engine of an upstream with the scheduler client, if the
--- a/Source/Core/Gateway/GatewayAnswers.cpp
+++ b/Source/Core/Gateway/GatewayAnswers.cpp
@@ -35,7 +35,7 @@
       "event=answer id={} status={} reason={} route={} workspace={} "
       "attempts={} upstream={} elapsed_ms={} wait_ms={} retry_ms={} "
       "config_version={} store_age_ms={} passing_share={:.2f} tokens={} "
-      "output={} within_share={}",
+      "output={} within_share={} long_prompt={} elsewhere_ms={}",
       call.metadata.request_id, status, reason,
       call.route == nullptr ? "" : call.route->name,
       call.workspace == nullptr ? "" : call.workspace->name.value,
@@ -46,7 +46,10 @@
       age.value_or(milliseconds(-1)) / milliseconds(1), load_shedder_.share,
       call.metadata.prompt ? call.metadata.prompt->prompt_tokens : 0,
       call.metadata.prompt ? call.metadata.prompt->expected_output_tokens : 0,
-      call.within_share);
+      call.within_share,
+      call.route != nullptr && call.metadata.prompt &&
+          HasLongPrompt(call).value_or(false),
+      call.wait_elsewhere.value_or(milliseconds(-1)) / milliseconds(1));
   if (call.HasResponseStarted()) {
     call.caller->Abort();
     return RemoveCall(call);
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -236,6 +236,7 @@
       return SendTo(call, outcome.grant.upstream, outcome.grant);
     case SearchOutcome::Kind::kDeclined:
       call.declined_wait = outcome.wait;
+      call.wait_elsewhere = WaitElsewhere(call);
       if (!outcome.offered) {
         scheduler_client_.RecordUnoffered(call.workspace->name,
                                           *call.metadata.prompt);
--- a/Source/Core/Gateway/GatewayLongPrompts.cpp
+++ b/Source/Core/Gateway/GatewayLongPrompts.cpp
@@ -51,6 +51,22 @@
   return balancing::PartitionEngines(options, ranked);
 }
 
+std::optional<common::Duration> Gateway::WaitElsewhere(const Call& call) const {
+  const auto is_long = HasLongPrompt(call);
+  if (!is_long) return std::nullopt;
+  const balancing::EnginePartition partition =
+      PartitionByDemand(call, Candidates(call));
+  std::optional<common::Duration> shortest;
+  for (const auto* it :
+       *is_long ? partition.others : partition.long_prompt_engines) {
+    const balancing::SchedulerView* view = scheduler_client_.ViewOf(*it);
+    if (view == nullptr) continue;
+    shortest =
+        std::min(shortest.value_or(view->expected_wait), view->expected_wait);
+  }
+  return shortest;
+}
+
 // Long prompts go to the engines that are reserved for them, all other prompts
 // to the remaining engines. If no scheduler of the chosen group responds, all
 // engines are candidates.
--- a/Source/Core/Gateway/SchedulerClient.h
+++ b/Source/Core/Gateway/SchedulerClient.h
@@ -85,6 +85,13 @@
   std::optional<double> PrefillNsPerToken() const {
     return prefill_ns_per_token_;
   }
+  // Last known state of the engine's scheduler; null if it was never heard or
+  // is not responsive.
+  const balancing::SchedulerView* ViewOf(
+      const common::UpstreamName& upstream) const {
+    return IsResponsive(upstream) ? &placement_state_.schedulers.at(upstream)
+                                  : nullptr;
+  }
   bool IsResponsive(const common::UpstreamName& upstream) const {
     return balancing::IsResponsive(placement_state_, clock_.Now(), upstream);
   }
