Offer long prompts to other engines when theirs are full

Cause: prompts above a threshold were offered to the engines reserved for them and to no other, whatever their demand.

Change: a prompt within its workspace's share that its group would start late is offered to an engine at which it is not long, and if all decline, to one where few streams are stalled. It works because the refusing group is no longer the last one asked, and the bound keeps the streams of loaded engines out of it.

--- a/Source/Core/Balancing/PlacementCost.cpp
+++ b/Source/Core/Balancing/PlacementCost.cpp
@@ -68,4 +68,19 @@
   return best;
 }
 
+std::optional<std::size_t> LeastTotalDelay(
+    const std::vector<OverflowFigures>& engines, int tokens) {
+  std::optional<std::size_t> best;
+  double best_delay = 0;
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    const OverflowFigures& it = engines[i];
+    const double delay = static_cast<double>(it.wait.count()) +
+                         tokens * it.ns_per_token * (1 + it.running);
+    if (best && delay >= best_delay) continue;
+    best = i;
+    best_delay = delay;
+  }
+  return best;
+}
+
 }  // namespace shallotbeam::balancing
--- a/Source/Core/Balancing/PlacementCost.h
+++ b/Source/Core/Balancing/PlacementCost.h
@@ -57,6 +57,20 @@
 std::optional<std::size_t> ShortestPenalisedWait(
     const std::vector<CandidateFigures>& candidates, common::Duration penalty);
 
+// What is known of an engine outside of the group that its prompt length gives
+// a request.
+struct OverflowFigures {
+  common::Duration wait{0};
+  double ns_per_token = 0;  // prefill time
+  int running = 0;          // requests that wait for the prefill of others
+};
+
+// Returns the index of the engine where a prompt with `tokens` to prefill
+// causes the least delay in total: its own wait and prefill, and the prefill
+// once more for each request that runs there. Absent if there are no engines.
+std::optional<std::size_t> LeastTotalDelay(
+    const std::vector<OverflowFigures>& engines, int tokens);
+
 }  // namespace shallotbeam::balancing
 
 #endif  // SHALLOTBEAM_CORE_BALANCING_PLACEMENTCOST_H_
--- a/Source/Core/Balancing/PlacementSearch.cpp
+++ b/Source/Core/Balancing/PlacementSearch.cpp
@@ -1,6 +1,7 @@
 #include "Balancing/PlacementSearch.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace shallotbeam::balancing {
@@ -51,6 +52,11 @@
   return held ? common::SharedTokens(request.prompt) : 0;
 }
 
+bool WasOffered(const Search& search, const common::UpstreamName& upstream) {
+  return std::find(search.offered.begin(), search.offered.end(), upstream) !=
+         search.offered.end();
+}
+
 // Returns the engine to offer the request to next, or null if none is left. It
 // is one of the first `max_offers` responsive candidates.
 const common::UpstreamName* NextCandidate(const PlacementState& state,
@@ -67,10 +73,7 @@
     if (position == state.options.max_offers) break;
     const SchedulerView& view = state.schedulers.at(it);
     const int own_position = IsUsedUp(state, it) ? position : position++;
-    if (std::find(search.offered.begin(), search.offered.end(), it) !=
-        search.offered.end()) {
-      continue;
-    }
+    if (WasOffered(search, it)) continue;
     names.push_back(&it);
     figures.push_back({.wait = view.expected_wait,
                        .ns_per_token = view.ns_per_token,
@@ -108,27 +111,85 @@
   return shortest;
 }
 
-void OfferNext(PlacementState& state, common::TimePoint now, Search& search,
-               SearchActions* actions) {
-  if (search.offers_made >= state.options.max_offers) return;
-  const common::UpstreamName* next = NextCandidate(state, now, search);
-  if (next == nullptr) return;
+void OfferTo(PlacementState& state, common::TimePoint now, Search& search,
+             const common::UpstreamName& upstream, SearchActions* actions) {
   ++search.offers_made;
-  search.offered.push_back(*next);
+  search.offered.push_back(upstream);
   const OfferNumber number = ++state.last_number;
   search.open_offers.push_back(number);
   const bool first = search.offers_made == 1;
   state.offers[number] = {.search = search.request.id,
                           .first = first,
-                          .upstream = *next,
+                          .upstream = upstream,
                           .sent = now,
                           .repeat_at = now + state.options.repeat_after};
-  actions->push_back(SendOffer{
-      .search = search.request.id,
-      .upstream = *next,
-      .number = number,
-      .first = first,
-      .fetchable_tokens = BestCacheSource(state, now, search, *next).tokens});
+  actions->push_back(
+      SendOffer{.search = search.request.id,
+                .upstream = upstream,
+                .number = number,
+                .first = first,
+                .fetchable_tokens =
+                    BestCacheSource(state, now, search, upstream).tokens});
+}
+
+// Offers the request to one of `engines` that runs at most `max_running`
+// requests, if there is one.
+void OfferOverflow(PlacementState& state, common::TimePoint now, Search& search,
+                   const std::vector<common::UpstreamName>& engines,
+                   int max_running, SearchActions* actions) {
+  std::vector<const common::UpstreamName*> names;
+  std::vector<OverflowFigures> figures;
+  for (const common::UpstreamName& it : engines) {
+    const auto full =
+        static_cast<std::size_t>(state.options.max_overflow_engines);
+    if (names.size() == full) break;
+    if (!IsResponsive(state, now, it) || IsUsedUp(state, it)) continue;
+    const SchedulerView& view = state.schedulers.at(it);
+    if (!view.ns_per_token || view.running > max_running) continue;
+    if (WasOffered(search, it)) continue;
+    names.push_back(&it);
+    figures.push_back({.wait = view.expected_wait,
+                       .ns_per_token = *view.ns_per_token,
+                       .running = view.running});
+  }
+  const common::Prompt& prompt = search.request.prompt;
+  const auto chosen = LeastTotalDelay(
+      figures, prompt.prompt_tokens - common::SharedTokens(prompt));
+  if (chosen) OfferTo(state, now, search, *names[*chosen], actions);
+}
+
+// Whether no scheduler that was asked will start the request on time, as far as
+// their replies tell.
+bool IsExpectedLate(const PlacementState& state, common::TimePoint now,
+                    const Search& search) {
+  // Without any reply, there is no scheduler to rely on.
+  if (search.open_offers.empty()) return search.any_declined;
+  return std::all_of(search.open_offers.begin(), search.open_offers.end(),
+                     [&](OfferNumber number) {
+                       const OfferState& it = state.offers.at(number);
+                       return it.replied &&
+                              now + it.wait > search.request.target;
+                     });
+}
+
+void OfferNext(PlacementState& state, common::TimePoint now, Search& search,
+               SearchActions* actions) {
+  if (search.offers_made < state.options.max_offers) {
+    const common::UpstreamName* next = NextCandidate(state, now, search);
+    if (next != nullptr) return OfferTo(state, now, search, *next, actions);
+  }
+  if (!search.request.within_share) return;
+  if (!search.overflowed_if_late && IsExpectedLate(state, now, search)) {
+    search.overflowed_if_late = true;
+    OfferOverflow(state, now, search, search.request.overflow.if_late,
+                  std::numeric_limits<int>::max(), actions);
+  }
+  if (!search.overflowed_if_declined && search.open_offers.empty() &&
+      search.any_declined) {
+    search.overflowed_if_declined = true;
+    OfferOverflow(state, now, search, search.request.overflow.if_declined,
+                  state.options.max_stalled_requests, actions);
+  }
 }
 
 // Ends the search without a start if it has no open offer.
@@ -276,6 +337,7 @@
     OfferNext(state, now, search, actions);
     return FinishIfNoOpenOffers(state, id, actions);
   }
+  offer->second.wait = reply.wait;
   if (reply.wait > state.options.tolerated_wait) {
     OfferNext(state, now, search, actions);
   }
@@ -296,6 +358,8 @@
                        SearchActions* actions) {
   for (auto& [id, it] : state.searches) {
     std::erase(it.request.candidates, upstream);
+    std::erase(it.request.overflow.if_late, upstream);
+    std::erase(it.request.overflow.if_declined, upstream);
   }
   state.schedulers.erase(upstream);
   ForgetHolder(state.holders, upstream);
--- a/Source/Core/Balancing/PlacementSearch.h
+++ b/Source/Core/Balancing/PlacementSearch.h
@@ -61,6 +61,23 @@
   // candidates, from the front of the list, are considered, without those whose
   // stated limit of requests a second is used up.
   int max_offers = 2;
+  // Overflow engines that are compared, from the front of their list. If all
+  // gateways compared all of them, they would choose the same one.
+  int max_overflow_engines = 8;
+  // An overflow engine whose running streams the prompt would stall is asked
+  // only if it runs at most this many requests.
+  int max_stalled_requests = 6;
+};
+
+// Engines outside of the group that its prompt length gives a request. They are
+// asked, one of each list, for requests within their workspace's fair share, so
+// that no request is refused while another group has room.
+struct OverflowEngines {
+  // Asked as soon as the candidates would start the request late. The prompt is
+  // not long for them.
+  std::vector<common::UpstreamName> if_late;
+  // Asked when all others have declined. The prompt stalls their streams.
+  std::vector<common::UpstreamName> if_declined;
 };
 
 struct SearchRequest {
@@ -78,6 +95,7 @@
   // Engines that may run the request; those that are more likely to have its
   // prompt cached come first.
   std::vector<common::UpstreamName> candidates;
+  OverflowEngines overflow;
   // Preferred engine of the prompt's shared prefix, which most likely has it
   // cached, even if it is not a candidate. May be empty.
   common::UpstreamName preferred_engine;
@@ -91,6 +109,9 @@
   CachedPrefixes cached;              // as stated in the replies so far
   common::Duration shortest_wait{0};  // over the declined offers
   bool any_declined = false;
+  // Whether an engine of either overflow list was asked.
+  bool overflowed_if_late = false;
+  bool overflowed_if_declined = false;
 };
 
 struct OfferState {
@@ -100,6 +121,7 @@
   common::TimePoint sent;
   common::TimePoint repeat_at;
   bool replied = false;
+  common::Duration wait{0};  // as stated in the last reply
 };
 
 struct PlacementState {
--- a/Source/Core/Balancing/SchedulerViews.cpp
+++ b/Source/Core/Balancing/SchedulerViews.cpp
@@ -34,6 +34,7 @@
     view.expected_wait = load.expected_wait;
     view.over_share_wait = load.over_share_wait;
     view.ns_per_token = load.ns_per_token;
+    view.running = std::max(load.running, 0);
   }
   return restarted;
 }
--- a/Source/Core/Balancing/SchedulerViews.h
+++ b/Source/Core/Balancing/SchedulerViews.h
@@ -21,6 +21,7 @@
   // Expected wait of over-share requests.
   common::Duration over_share_wait{0};
   std::optional<double> ns_per_token;  // prefill time
+  int running = 0;                     // requests in the engine
   std::uint64_t ignored_reports = 0;   // since the last plausible one
 };
 
@@ -29,6 +30,7 @@
   common::Duration expected_wait{0};
   common::Duration over_share_wait{0};
   double ns_per_token = 0;  // prefill time
+  int running = 0;          // requests in the engine
 };
 
 using SchedulerViews = std::unordered_map<common::UpstreamName, SchedulerView>;
--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -225,7 +225,8 @@
   void Dispatch(Call& call);
   // Offers the call to the schedulers of `candidates`.
   void StartPlacementSearch(
-      Call& call, const std::vector<const common::UpstreamName*>& candidates);
+      Call& call, const std::vector<const common::UpstreamName*>& candidates,
+      balancing::OverflowEngines overflow);
   bool IsWithinShare(const Call& call);
   // Used if no scheduler responds: sends the call to the engine that is most
   // likely to cache its prompt and is not overloaded.
@@ -249,6 +250,11 @@
   std::vector<const common::UpstreamName*> FilterByPromptLength(
       const Call& call, const std::vector<const common::UpstreamName*>& ranked,
       const balancing::EnginePartition& weighted_pools) const;
+  // Engines outside of the group of the call's prompt, in the order of
+  // `ranked`.
+  balancing::OverflowEngines OverflowFor(
+      const Call& call,
+      const std::vector<const common::UpstreamName*>& ranked) const;
   // Shortest wait at the engines that are kept for prompts of another length
   // than that of the call; absent if there are none.
   std::optional<common::Duration> WaitElsewhere(const Call& call) const;
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -174,8 +174,8 @@
   call.preferred_engine = weighted_pools.others.empty()
                               ? common::UpstreamName()
                               : *weighted_pools.others.front();
-  StartPlacementSearch(call,
-                       FilterByPromptLength(call, ranked, weighted_pools));
+  StartPlacementSearch(call, FilterByPromptLength(call, ranked, weighted_pools),
+                       OverflowFor(call, ranked));
 }
 
 // If a workspace requests more than its fair share, the share determines which
@@ -191,7 +191,8 @@
 }
 
 void Gateway::StartPlacementSearch(
-    Call& call, const std::vector<const common::UpstreamName*>& candidates) {
+    Call& call, const std::vector<const common::UpstreamName*>& candidates,
+    balancing::OverflowEngines overflow) {
   const auto id = static_cast<balancing::SearchId>(++last_search_id_);
   // Callers abandon a stream without events after this time.
   const common::Duration abandon_time =
@@ -219,6 +220,7 @@
                                   ? first_event_deadline
                                   : std::min(first_event_deadline, target)};
   for (const auto* it : candidates) request.candidates.push_back(*it);
+  request.overflow = std::move(overflow);
   request.preferred_engine = call.preferred_engine;
   call.search = id;
   searches_[id] = &call;
--- a/Source/Core/Gateway/GatewayLongPrompts.cpp
+++ b/Source/Core/Gateway/GatewayLongPrompts.cpp
@@ -51,6 +51,24 @@
   return balancing::PartitionEngines(options, ranked);
 }
 
+balancing::OverflowEngines Gateway::OverflowFor(
+    const Call& call,
+    const std::vector<const common::UpstreamName*>& ranked) const {
+  balancing::OverflowEngines overflow;
+  if (!HasLongPrompt(call).value_or(false)) return overflow;
+  const balancing::EnginePartition partition = PartitionByDemand(call, ranked);
+  if (partition.long_prompt_engines.empty()) return overflow;
+  for (const auto* it : partition.others) {
+    const balancing::SchedulerView* view = scheduler_client_.ViewOf(*it);
+    if (view == nullptr || !view->ns_per_token) continue;
+    const bool is_long =
+        balancing::IsLongPrompt({}, *call.metadata.prompt, *view->ns_per_token,
+                                call.route->event_gap_target);
+    (is_long ? overflow.if_declined : overflow.if_late).push_back(*it);
+  }
+  return overflow;
+}
+
 std::optional<common::Duration> Gateway::WaitElsewhere(const Call& call) const {
   const auto is_long = HasLongPrompt(call);
   if (!is_long) return std::nullopt;
@@ -69,7 +87,8 @@
 
 // Long prompts go to the engines that are reserved for them, all other prompts
 // to the remaining engines. If no scheduler of the chosen group responds, all
-// engines are candidates.
+// engines are candidates. OverflowFor() has the engines for long prompts that
+// find no room in their group.
 std::vector<const common::UpstreamName*> Gateway::FilterByPromptLength(
     const Call& call, const std::vector<const common::UpstreamName*>& ranked,
     const balancing::EnginePartition& weighted_pools) const {
--- a/Source/Core/Gateway/SchedulerClient.cpp
+++ b/Source/Core/Gateway/SchedulerClient.cpp
@@ -138,7 +138,8 @@
                              from.incarnation,
                              {.expected_wait = report.expected_wait,
                               .over_share_wait = report.over_share_wait,
-                              .ns_per_token = report.ns_per_token},
+                              .ns_per_token = report.ns_per_token,
+                              .running = report.occupied},
                              &actions);
   // Logged once, since each scheduler reports several times a second.
   if (placement_state_.schedulers[upstream->second].ignored_reports == 1) {
