Bound the parts that are kept of a prompt

Heads inside the limits were enough.

Cause: a head of 16 KiB lists 2,600 parts. Gateways kept them, a trait for each and copies for searches and messages, about ten times the size of the head; schedulers kept an entry for each part, and parts without tokens, or with a negative number, never counted against the engine's memory. Nothing bounded what is made of a head after it was read, while the head itself was counted.

Change: gateways and schedulers shorten the list to 32 parts, which all callers of the deployments stay below; of a longer one the middle becomes one part. The request that is forwarded is unchanged. It works because everything that was kept or computed for each part comes from this list.

--- a/Source/Core/Common/Prompt.cpp
+++ b/Source/Core/Common/Prompt.cpp
@@ -1,5 +1,8 @@
 #include "Common/Prompt.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace shallotbeam::common {
 
 std::uint64_t PrefixKey(const std::vector<PromptPart>& parts,
@@ -15,6 +18,27 @@
   return key;
 }
 
+void ShortenParts(Prompt& prompt) {
+  std::vector<PromptPart>& parts = prompt.parts;
+  std::erase_if(parts, [](const PromptPart& it) { return it.tokens <= 0; });
+  // Sums of the tokens must fit into an int.
+  int left = std::numeric_limits<int>::max();
+  for (PromptPart& it : parts) {
+    it.tokens = std::min(it.tokens, left);
+    left -= it.tokens;
+  }
+  if (parts.size() > kMaxPromptParts) {
+    const std::size_t kept = kMaxPromptParts - 2;
+    const auto first = parts.begin() + static_cast<std::ptrdiff_t>(kept);
+    const std::vector<PromptPart> merged(first, parts.end() - 1);
+    PromptPart middle{.id = PrefixKey(merged, merged.size())};
+    for (const PromptPart& it : merged) middle.tokens += it.tokens;
+    *first = middle;
+    parts.erase(first + 1, parts.end() - 1);
+  }
+  parts.shrink_to_fit();
+}
+
 std::uint64_t SharedPrefixKey(const Prompt& prompt) {
   return prompt.parts.empty()
              ? 0
--- a/Source/Core/Common/Prompt.h
+++ b/Source/Core/Common/Prompt.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTBEAM_CORE_COMMON_PROMPT_H_
 #define SHALLOTBEAM_CORE_COMMON_PROMPT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -33,6 +34,17 @@
 std::uint64_t PrefixKey(const std::vector<PromptPart>& parts,
                         std::size_t count);
 
+// Longest list of parts that is kept of a prompt.
+inline constexpr std::size_t kMaxPromptParts = 32;
+
+// Shortens the list of a prompt to `kMaxPromptParts` parts, so that what is
+// kept and computed for a request does not grow with its head. Parts without
+// tokens, which no cache holds, are dropped. Of a longer list, the first parts
+// and the last one stay, and those between them become one part, which is the
+// same only for the same parts in the same order. The sum of the tokens stays,
+// but is at most the largest int.
+void ShortenParts(Prompt& prompt);
+
 // Number of tokens in a prompt's shared prefix: all parts but the last.
 int SharedTokens(const Prompt& prompt);
 
--- a/Source/Core/Gateway/Gateway.cpp
+++ b/Source/Core/Gateway/Gateway.cpp
@@ -409,6 +409,7 @@
   Call& call = *owner;
   calls_.emplace(&call, std::move(owner));
   call.metadata = environment_.header_codec.decode_request(call.request.fields);
+  if (call.metadata.prompt) common::ShortenParts(*call.metadata.prompt);
   call.deadline =
       call.request.arrived + call.metadata.deadline.value_or(kDefaultTimeout);
   connection->SetCallbacks(
--- a/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
+++ b/Source/Core/SchedulerRuntime/SchedulerDriver.cpp
@@ -114,13 +114,15 @@
   const common::TimePoint now = environment_.clock.Now();
   gateways_[from.incarnation] = {.control = offer.control, .last_heard = now};
   scheduling::OnOfferFrom(counter_reports_, now, from.incarnation);
+  common::Prompt prompt = offer.prompt;
+  common::ShortenParts(prompt);
   scheduling::Replies replies;
   scheduling::OnOffer(
       scheduler_, now,
       {.id = {.gateway = from.incarnation, .number = offer.number},
        .request_id = offer.request_id,
        .workspace = offer.workspace,
-       .prompt = offer.prompt,
+       .prompt = std::move(prompt),
        .priority = offer.priority,
        .within_share = offer.within_share,
        .first = offer.first,
--- a/Source/UnitTests/Platform/HostileCallersTest.cpp
+++ b/Source/UnitTests/Platform/HostileCallersTest.cpp
@@ -10,6 +10,7 @@
 
 constexpr int kOk = 200;
 constexpr int kCrowd = 96;
+constexpr int kPrompts = 120;
 // Each of this many callers of a crowd sends its whole body.
 constexpr int kWholeEach = 8;
 constexpr std::size_t kOrdinaryBytes = 12'000;
@@ -98,4 +99,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(HostileHeadsTest, SmallHostFixture)
+
+// Guards against a bound that refuses a caller inside the limits.
+BOOST_AUTO_TEST_CASE(LongPromptListIsPassedOnInCalm) {
+  AddCaller(LongPromptListUpload());
+  SendAll();
+  BOOST_CHECK_EQUAL(Statuses(), "1 x \"\", ");
+  BOOST_CHECK_EQUAL(ModelRequests(), 1);
+}
+
+// Guards against heads of legal size whose prompts take many times their size
+// in memory while the requests are in progress.
+BOOST_AUTO_TEST_CASE(ManyLongPromptListsInProgress) {
+  for (int i = 0; i < kPrompts; ++i) AddCaller(LongPromptListUpload());
+  SendAll();
+  BOOST_TEST_MESSAGE(Statuses());
+  BOOST_CHECK_EQUAL(Request(kOrdinaryBytes), kOk);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace shallotbeam::platform_adapter
--- a/Source/UnitTests/Platform/HostileFixture.cpp
+++ b/Source/UnitTests/Platform/HostileFixture.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -38,8 +39,12 @@
   return fmt::format(
       R"({{"version":1,"routes":[{{"name":"up","host":"h","pathPrefix":"/up/",
       "routeKind":"non_idempotent","service":"plain","anonymous":true,
-      "timeoutMs":60000,"sloMs":1000}}],
-      "services":[{{"name":"plain"}}],
+      "timeoutMs":60000,"sloMs":1000}},
+      {{"name":"ask","host":"h","pathPrefix":"/ask/",
+      "routeKind":"streaming","service":"model","anonymous":true,
+      "sticky":true,"timeoutMs":60000,"sloMs":1000,"gapTargetMs":400}}],
+      "services":[{{"name":"plain"}},{{"name":"model","engine":
+      {{"slots":500,"kvCapacity":600000,"stride":6,"models":[{{"name":"m"}}]}}}}],
       "limits":{{"maxBodyBytes":{},"headerTimeoutMs":60000,
       "idleTimeoutMs":60000}}}})",
       kMaxBodyBytes);
@@ -50,8 +55,17 @@
                      absl::Base64Escape(value));
 }
 
-std::string RequestHead(const std::string& framing) {
-  return "POST /up/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n"
+std::string Entry(const std::string& service, std::uint16_t port) {
+  return fmt::format(
+      R"({{"service":"{}","address":"127.0.0.1:{}","zone":"z",
+      "slots":500,"state":"ready","born":1}})",
+      service, port);
+}
+
+std::string RequestHead(const std::string& framing,
+                        const std::string& path = "/up/x") {
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: h\r\nAttempt-Id: 1\r\n"
          "Deadline-Ms: 60000\r\n" +
          framing + "\r\n\r\n";
 }
@@ -99,13 +113,28 @@
   return {.head = RequestHead(fields), .tail = std::string(99, 'u')};
 }
 
-// Answers for the store and the upstream.
+Upload LongPromptListUpload() {
+  constexpr int kParts = 2'500;
+  std::string parts = "1:1";
+  for (int i = 1; i < kParts; ++i) parts += fmt::format(",{:x}:1", i + 1);
+  return {.head =
+              RequestHead(fmt::format("Model: m\r\nToken-Count: {},600\r\n"
+                                      "Prefix-Hash: {}\r\nContent-Length: 0",
+                                      kParts, parts),
+                          "/ask/x")};
+}
+
+// Answers for the store and the upstreams.
 struct HostileFixture::Backends {
   net::io_context context;
   net::executor_work_guard<net::io_context::executor_type> work{
       context.get_executor()};
   std::shared_ptr<transport::HttpServer> upstream;
+  std::shared_ptr<transport::HttpServer> model;
   std::shared_ptr<transport::HttpServer> store;
+  // Requests for the model, which stay without an answer.
+  std::vector<std::shared_ptr<transport::HttpExchange>> unanswered;
+  std::atomic<std::size_t> model_requests = 0;
   std::thread thread;
 
   Backends() {
@@ -116,6 +145,12 @@
                     .headers = {{"Attempt-Id", "1"}, {"Response-Seal", "s"}},
                     .body = "done"});
         });
+    model = *transport::HttpServer::Listen(
+        context, {.endpoint = Local(), .max_header_bytes = 65'536},
+        [this](const std::shared_ptr<transport::HttpExchange>& it) {
+          unanswered.push_back(it);
+          ++model_requests;
+        });
     store = *transport::HttpServer::Listen(
         context, {.endpoint = Local()},
         [this](const std::shared_ptr<transport::HttpExchange>& it) {
@@ -132,16 +167,13 @@
 
   void AnswerStoreCall(const std::shared_ptr<transport::HttpExchange>& it) {
     if (it->Request().target.find("kv-watch") == std::string::npos) {
-      const std::string entry = fmt::format(
-          R"({{"service":"plain","address":"127.0.0.1:{}","zone":"z",
-          "slots":8,"state":"ready","born":1}})",
-          upstream->Port());
-      return it->Send(
-          {.status = kOk,
-           .headers = {},
-           .body = fmt::format(R"({{"items":[{},{}],"asOf":5}})",
-                               Item("op/config", ConfigurationText()),
-                               Item("servers/u", entry))});
+      return it->Send({.status = kOk,
+                       .headers = {},
+                       .body = fmt::format(
+                           R"({{"items":[{},{},{}],"asOf":5}})",
+                           Item("op/config", ConfigurationText()),
+                           Item("servers/u", Entry("plain", upstream->Port())),
+                           Item("servers/m", Entry("model", model->Port())))});
     }
     // Nothing changes.
     const auto timer = std::make_shared<net::steady_timer>(context);
@@ -206,7 +238,8 @@
   std::string received;
 };
 
-HostileFixture::HostileFixture() : backends_(std::make_unique<Backends>()) {
+HostileFixture::HostileFixture(int memory_mb)
+    : backends_(std::make_unique<Backends>()), memory_mb_(memory_mb) {
   std::filesystem::create_directories(WORK_FOLDER);
   callers_ = load::FreeEndpoint();
   const common::Endpoint readiness = load::FreeEndpoint();
@@ -218,7 +251,7 @@
       common::ToString(callers_), common::ToString(readiness),
       common::ToString(load::FreeEndpoint()),
       common::ToString(load::FreeEndpoint()), backends_->store->Port(),
-      kMaxDescriptors, kMemoryMb);
+      kMaxDescriptors, memory_mb_);
   auto process = load::ChildProcess::Start(
       GATEWAY_PROGRAM, {"gateway", "--settings", settings},
       std::string(WORK_FOLDER) + "/gateway.log");
@@ -278,7 +311,7 @@
   BOOST_REQUIRE_MESSAGE(!gateway_->ExitCode(), "the gateway has ended");
   const double used = load::ResidentBytes(gateway_->Pid()) / kMegabyte;
   peak_mb_ = std::max(peak_mb_, used);
-  BOOST_REQUIRE_MESSAGE(used <= kMemoryMb,
+  BOOST_REQUIRE_MESSAGE(used <= memory_mb_,
                         "the gateway uses " << used << " MiB");
   BOOST_REQUIRE_LE(OpenDescriptors(gateway_->Pid()), kMaxDescriptors);
 }
@@ -312,6 +345,10 @@
   return status;
 }
 
+std::size_t HostileFixture::ModelRequests() const {
+  return backends_->model_requests;
+}
+
 std::string HostileFixture::Statuses() const {
   std::map<std::string, int> counts;
   for (const auto& it : crowd_) {
--- a/Source/UnitTests/Platform/HostileFixture.h
+++ b/Source/UnitTests/Platform/HostileFixture.h
@@ -19,6 +19,7 @@
 // Limits of the gateway under test. The crowds below hold several times this
 // memory if nothing bounds what the gateway keeps for them.
 inline constexpr int kMemoryMb = 48;
+inline constexpr int kSmallMemoryMb = 24;
 inline constexpr int kMaxDescriptors = 500;
 inline constexpr std::size_t kMaxBodyBytes = 1'048'576;
 
@@ -41,11 +42,15 @@
 // A head of many fields whose body stops one byte short of its end.
 Upload ManyFieldsUpload();
 
-// The process, the store and the upstream that it needs. The store and the
-// upstream run on a thread of their own.
+// A whole request for a model whose prompt lists many parts, with a head just
+// below the usual limit.
+Upload LongPromptListUpload();
+
+// The process, the store and the upstreams that it needs: one that answers at
+// once, and a model that never does. They run on a thread of their own.
 class HostileFixture {
  public:
-  HostileFixture();
+  explicit HostileFixture(int memory_mb = kMemoryMb);
   ~HostileFixture();
   HostileFixture(const HostileFixture&) = delete;
   HostileFixture& operator=(const HostileFixture&) = delete;
@@ -60,6 +65,8 @@
   int Request(std::size_t bytes);
   // Checks that the process is alive and within its bounds.
   void Check();
+  // Requests that have reached the model.
+  std::size_t ModelRequests() const;
   // Statuses that the crowd has received so far, as text.
   std::string Statuses() const;
 
@@ -74,9 +81,15 @@
   common::Endpoint callers_;
   std::optional<load::ChildProcess> gateway_;
   std::list<std::shared_ptr<Caller>> crowd_;
+  int memory_mb_;
   double peak_mb_ = 0;
 };
 
+// The same on a host with less memory.
+struct SmallHostFixture : HostileFixture {
+  SmallHostFixture() : HostileFixture(kSmallMemoryMb) {}
+};
+
 }  // namespace shallotbeam::platform_adapter
 
 #endif  // SHALLOTBEAM_UNITTESTS_PLATFORM_HOSTILEFIXTURE_H_
