Bound the number of parts in a scheduler's model of the cache

The model was bounded by the engine's memory in tokens alone: parts of one token could take 100 bytes each up to 600,000 times, and without a limit while no gateway had stated the memory. Parts beyond 65,536 are evicted like others.

--- a/Source/Core/Scheduling/PrefixCache.cpp
+++ b/Source/Core/Scheduling/PrefixCache.cpp
@@ -2,6 +2,13 @@
 
 namespace shallotbeam::scheduling {
 
+namespace {
+
+// Takes about 7 MiB.
+constexpr std::size_t kMaxParts = 65'536;
+
+}  // namespace
+
 int PrefixCache::CachedTokens(const common::Prompt& prompt) const {
   int cached = 0;
   for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
@@ -26,10 +33,11 @@
     by_key_[key] = parts_.begin();
     tokens_ += tokens;
   }
+  EvictTo(tokens_);
 }
 
 void PrefixCache::EvictTo(double tokens) {
-  while (tokens_ > tokens && !parts_.empty()) {
+  while (!parts_.empty() && (tokens_ > tokens || parts_.size() > kMaxParts)) {
     tokens_ -= parts_.back().tokens;
     by_key_.erase(parts_.back().key);
     parts_.pop_back();
--- a/Source/Core/Scheduling/PrefixCache.h
+++ b/Source/Core/Scheduling/PrefixCache.h
@@ -21,6 +21,8 @@
   void Insert(const common::Prompt& prompt);
 
   // Evicts the least recently used parts until at most `tokens` remain.
+  // Insert() does the same for the number of parts, whose limit is far above
+  // what an engine keeps.
   void EvictTo(double tokens);
 
   void Clear();
--- a/Source/UnitTests/Core/Scheduling/PrefixCacheTest.cpp
+++ b/Source/UnitTests/Core/Scheduling/PrefixCacheTest.cpp
@@ -44,6 +44,19 @@
   BOOST_CHECK_EQUAL(cache.Tokens(), 0);
 }
 
+// Guards against memory that grows with tiny parts, which stay far below the
+// engine's memory, or while that is not known.
+BOOST_AUTO_TEST_CASE(NumberOfPartsIsLimited) {
+  constexpr std::uint64_t kPrompts = 200'000;
+  PrefixCache cache;
+  for (std::uint64_t i = 1; i <= kPrompts; ++i) {
+    cache.Insert(PromptOf({{i, 1}}));
+  }
+  BOOST_CHECK_LE(cache.Tokens(), kPrompts / 2);
+  BOOST_CHECK_EQUAL(cache.CachedTokens(PromptOf({{1, 1}})), 0);
+  BOOST_CHECK_EQUAL(cache.CachedTokens(PromptOf({{kPrompts, 1}})), 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(PrefillRateTest)
