Count the text of a request that is sent to an upstream

The head of a request in progress was held twice, as fields and as the text that was sent, and only the fields counted in the memory for callers. The text also stayed with the idle connection until its next request. It is counted now, built without the capacity of a doubling string, and freed when the exchange ends. The function that estimates a head moves to Framing.

--- a/Source/Core/Forwarding/CallerConnectionMemory.cpp
+++ b/Source/Core/Forwarding/CallerConnectionMemory.cpp
@@ -37,16 +37,6 @@
   return text.capacity() < kMinHeapBytes ? 0 : text.capacity();
 }
 
-// Memory for the fields of a head, each of which is an object of its own.
-std::size_t HeadBytes(const Fields& fields) {
-  constexpr std::size_t kFieldBytes = 80;
-  std::size_t n = 0;
-  for (const auto& it : fields) {
-    n += kFieldBytes + it.name_string().size() + it.value().size();
-  }
-  return n;
-}
-
 }  // namespace
 
 std::size_t CallerConnection::MaxReadAhead() const {
@@ -70,7 +60,7 @@
 
 bool CallerConnection::CountHead() {
   if (head_bytes_ != 0) return true;
-  const std::size_t bytes = HeadBytes(parser_->get().base());
+  const std::size_t bytes = MemoryOf(parser_->get().base());
   if (!MayHold(bytes)) return false;
   head_bytes_ = bytes;
   request_memory_.Set(request_memory_.Bytes() + bytes);
--- a/Source/Core/Forwarding/Framing.cpp
+++ b/Source/Core/Forwarding/Framing.cpp
@@ -48,6 +48,15 @@
   return http::token_list(connection->value()).exists(ToBeast(name));
 }
 
+std::size_t MemoryOf(const Fields& fields) {
+  constexpr std::size_t kFieldBytes = 80;
+  std::size_t n = 0;
+  for (const auto& it : fields) {
+    n += kFieldBytes + it.name_string().size() + it.value().size();
+  }
+  return n;
+}
+
 bool IsAmbiguouslyFramed(const Fields& fields) {
   const auto lengths = fields.count(http::field::content_length);
   const auto codings = fields.count(http::field::transfer_encoding);
--- a/Source/Core/Forwarding/Framing.h
+++ b/Source/Core/Forwarding/Framing.h
@@ -20,6 +20,10 @@
 // contradicting lengths, or a coding other than exactly "chunked".
 bool IsAmbiguouslyFramed(const Fields& fields);
 
+// Memory for the fields of a head, each of which is an object of its own, in
+// bytes.
+std::size_t MemoryOf(const Fields& fields);
+
 // What a response with a certain head is, by RFC 9110.
 enum class ResponseKind : std::uint8_t {
   kFinal,    // the response to the request
--- a/Source/Core/Forwarding/UpstreamConnection.cpp
+++ b/Source/Core/Forwarding/UpstreamConnection.cpp
@@ -279,6 +279,12 @@
   const bool reusable = end == ExchangeEnd::kComplete && keep_alive_ &&
                         input_.empty() && sent_ == request_.Size();
   if (!reusable) Close();
+  if (sent_ == request_.Size()) {
+    // An idle connection keeps no memory for its last request.
+    std::string().swap(request_.bytes);
+    request_.body = {};
+    sent_ = 0;
+  }
   listener->OnUpstreamEnd(end);
 }
 
--- a/Source/Core/Gateway/Call.cpp
+++ b/Source/Core/Gateway/Call.cpp
@@ -54,7 +54,8 @@
     : gateway(gateway),
       caller(std::move(caller)),
       request(std::move(request)),
-      memory_(gateway.Memory()) {}
+      memory_(gateway.Memory()),
+      sent_memory_(gateway.Memory()) {}
 
 void Call::StartAttempt(
     const common::UpstreamName& name, const common::Endpoint& endpoint,
@@ -74,11 +75,17 @@
                                   .head_only = request.method == "HEAD"};
   out.body = request.body;
   BuildRequest(now, &out.bytes);
+  sent_memory_.Set(out.bytes.capacity());
   connection_->Exchange(endpoint, std::move(out), this);
 }
 
 void Call::BuildRequest(common::TimePoint now, std::string* bytes) const {
-  bytes->reserve(1'024);
+  // A string that grows by itself may take twice its size.
+  std::size_t size = 1'024 + request.target.size();
+  for (const auto& it : request.fields) {
+    size += it.name_string().size() + it.value().size() + 4;
+  }
+  bytes->reserve(size);
   bytes->append(request.method).append(" ").append(request.target);
   bytes->append(" HTTP/1.1\r\n");
   const forwarding::HeaderCodec& codec = gateway.Codec();
--- a/Source/Core/Gateway/Call.h
+++ b/Source/Core/Gateway/Call.h
@@ -145,6 +145,8 @@
   AttemptEnd outcome_by_head_ = AttemptEnd::kAnswered;
   std::string buffer_;             // buffered until the response is complete
   overload::MemoryCharge memory_;  // of the response
+  // Of the text of the request that is sent to an upstream.
+  overload::MemoryCharge sent_memory_;
   std::size_t refusal_bytes_ = 0;
   forwarding::EventScanner scanner_;
   bool response_started_ = false;
