Count heads in the memory of routers and agents

Callers saw, in a test: a router or an agent beyond its memory, which the platform ends with all its calls. 200 clients sent heads of 16 KiB with 4,000 fields, each an object of its own, and stopped one byte short of the body.

Bodies of legal size that stop short, whole or in chunks, were bounded already.

A request whose head and body take up to 16 KiB is received whatever the others hold, as before for its body alone.

--- a/Source/Core/Transport/HttpSession.cpp
+++ b/Source/Core/Transport/HttpSession.cpp
@@ -122,6 +122,8 @@
     self->stream_.expires_after(self->shared_->options.receive_timeout);
     self->parser_->eager(true);
     self->memory_ = std::make_shared<RequestMemory>(self->shared_);
+    self->head_bytes_ = forwarding::MemoryOf(self->parser_->get().base());
+    if (!self->CountMemory()) return self->RefuseWith(kUnavailable);
     self->ReadBodyPart();
   };
   if (!beast::iequals(message[http::field::expect], "100-continue")) {
@@ -149,9 +151,9 @@
 
 bool HttpSession::CountMemory() {
   const std::size_t bytes =
-      parser_->get().body().capacity() + buffer_.capacity();
+      head_bytes_ + parser_->get().body().capacity() + buffer_.capacity();
   memory_->Set(bytes);
-  return parser_->get().body().size() <= kMinRequestBytes ||
+  return head_bytes_ + parser_->get().body().size() <= kMinRequestBytes ||
          shared_->buffered_bytes <= shared_->options.max_buffered_bytes;
 }
 
--- a/Source/Core/Transport/HttpSession.h
+++ b/Source/Core/Transport/HttpSession.h
@@ -95,6 +95,7 @@
   std::optional<boost::beast::http::request_parser<forwarding::AppendingBody>>
       parser_;
   std::shared_ptr<RequestMemory> memory_;  // of the request being received
+  std::size_t head_bytes_ = 0;             // memory for its head
   std::shared_ptr<HttpExchange> exchange_;
   std::function<void()> on_client_disconnected_;
   std::deque<Output> output_;
--- a/Source/TestTools/Load/Experiment.h
+++ b/Source/TestTools/Load/Experiment.h
@@ -34,6 +34,8 @@
   int routers = 2;
   std::vector<PoolSpec> pools;
   std::string log = "info";
+  // Memory of each router and agent, in MiB; 0 for their default.
+  int memory_mb = 0;
 };
 
 // How the arrival rate changes over a phase. Every shape has the same mean
--- a/Source/TestTools/Load/Fleet.cpp
+++ b/Source/TestTools/Load/Fleet.cpp
@@ -177,6 +177,15 @@
   }
 }
 
+void Fleet::LimitMemory(const FleetSpec& spec) {
+  if (spec.memory_mb == 0) return;
+  for (FleetProcess& it : processes_) {
+    if (it.role != "router" && it.role != "agent") continue;
+    it.arguments.emplace_back("--memory-mb");
+    it.arguments.push_back(std::to_string(spec.memory_mb));
+  }
+}
+
 absl::Status Fleet::Spawn(FleetProcess& process) {
   auto child =
       ChildProcess::Start(process.program, process.arguments, process.log);
@@ -191,6 +200,7 @@
   for (const PoolSpec& it : experiment.fleet.pools) {
     AddPool(experiment.fleet, it);
   }
+  LimitMemory(experiment.fleet);
   for (FleetProcess& it : processes_) {
     absl::Status status = Spawn(it);
     if (!status.ok()) return status;
--- a/Source/TestTools/Load/Fleet.h
+++ b/Source/TestTools/Load/Fleet.h
@@ -82,6 +82,7 @@
   absl::Status StartAll(const Experiment& experiment);
   void AddPlatformAndRouters(const FleetSpec& spec);
   void AddPool(const FleetSpec& spec, const PoolSpec& pool);
+  void LimitMemory(const FleetSpec& spec);
   FleetProcess* FindProcess(const std::string& name);
   absl::Status Spawn(FleetProcess& process);
   absl::Status Publish(const Experiment& experiment);
