--- a/Source/Core/Gateway/Gateway.h
+++ b/Source/Core/Gateway/Gateway.h
@@ -250,13 +250,12 @@
   std::vector<const common::UpstreamName*> FilterByPromptLength(
       const Call& call, const std::vector<const common::UpstreamName*>& ranked,
       const balancing::EnginePartition& weighted_pools) const;
-  // Engines outside of the group of the call's prompt, in the order of
-  // `ranked`.
+  // Engines outside of the group of the call's prompt if it is long, in the
+  // order of `partition`.
   balancing::OverflowEngines OverflowFor(
-      const Call& call,
-      const std::vector<const common::UpstreamName*>& ranked) const;
-  // Shortest wait at the engines that are kept for prompts of another length
-  // than that of the call; absent if there are none.
+      const Call& call, const balancing::EnginePartition& partition) const;
+  // Shortest wait at the engines outside of the group of the call's prompt if
+  // it is long; else absent.
   std::optional<common::Duration> WaitElsewhere(const Call& call) const;
   const common::UpstreamName* LeastLoaded(
       const std::vector<const common::UpstreamName*>& candidates);
--- a/Source/Core/Gateway/GatewayDispatch.cpp
+++ b/Source/Core/Gateway/GatewayDispatch.cpp
@@ -175,7 +175,7 @@
                               ? common::UpstreamName()
                               : *weighted_pools.others.front();
   StartPlacementSearch(call, FilterByPromptLength(call, ranked, weighted_pools),
-                       OverflowFor(call, ranked));
+                       OverflowFor(call, weighted_pools));
 }
 
 // If a workspace requests more than its fair share, the share determines which
--- a/Source/Core/Gateway/GatewayLongPrompts.cpp
+++ b/Source/Core/Gateway/GatewayLongPrompts.cpp
@@ -52,12 +52,10 @@
 }
 
 balancing::OverflowEngines Gateway::OverflowFor(
-    const Call& call,
-    const std::vector<const common::UpstreamName*>& ranked) const {
+    const Call& call, const balancing::EnginePartition& partition) const {
   balancing::OverflowEngines overflow;
-  if (!HasLongPrompt(call).value_or(false)) return overflow;
-  const balancing::EnginePartition partition = PartitionByDemand(call, ranked);
   if (partition.long_prompt_engines.empty()) return overflow;
+  if (!HasLongPrompt(call).value_or(false)) return overflow;
   for (const auto* it : partition.others) {
     const balancing::SchedulerView* view = scheduler_client_.ViewOf(*it);
     if (view == nullptr || !view->ns_per_token) continue;
@@ -70,13 +68,11 @@
 }
 
 std::optional<common::Duration> Gateway::WaitElsewhere(const Call& call) const {
-  const auto is_long = HasLongPrompt(call);
-  if (!is_long) return std::nullopt;
+  if (!HasLongPrompt(call).value_or(false)) return std::nullopt;
   const balancing::EnginePartition partition =
       PartitionByDemand(call, Candidates(call));
   std::optional<common::Duration> shortest;
-  for (const auto* it :
-       *is_long ? partition.others : partition.long_prompt_engines) {
+  for (const auto* it : partition.others) {
     const balancing::SchedulerView* view = scheduler_client_.ViewOf(*it);
     if (view == nullptr) continue;
     shortest =
