Keep the last part of a prompt when its list is shortened

A last part without tokens was dropped, so that the shared part before it counted as the request's own.

--- a/Source/Core/Common/Prompt.cpp
+++ b/Source/Core/Common/Prompt.cpp
@@ -20,7 +20,12 @@
 
 void ShortenParts(Prompt& prompt) {
   std::vector<PromptPart>& parts = prompt.parts;
-  std::erase_if(parts, [](const PromptPart& it) { return it.tokens <= 0; });
+  if (parts.empty()) return;
+  parts.erase(
+      std::remove_if(parts.begin(), parts.end() - 1,
+                     [](const PromptPart& it) { return it.tokens <= 0; }),
+      parts.end() - 1);
+  parts.back().tokens = std::max(parts.back().tokens, 0);
   // Sums of the tokens must fit into an int.
   int left = std::numeric_limits<int>::max();
   for (PromptPart& it : parts) {
--- a/Source/Core/Common/Prompt.h
+++ b/Source/Core/Common/Prompt.h
@@ -38,11 +38,11 @@
 inline constexpr std::size_t kMaxPromptParts = 32;
 
 // Shortens the list of a prompt to `kMaxPromptParts` parts, so that what is
-// kept and computed for a request does not grow with its head. Parts without
-// tokens, which no cache holds, are dropped. Of a longer list, the first parts
-// and the last one stay, and those between them become one part, which is the
-// same only for the same parts in the same order. The sum of the tokens stays,
-// but is at most the largest int.
+// kept and computed for a request does not grow with its head. Shared parts
+// without tokens, which no cache holds, are dropped. Of a longer list, the
+// first parts and the last one stay, and those between them become one part,
+// which is the same only for the same parts in the same order. The sum of the
+// tokens stays, but is at most the largest int.
 void ShortenParts(Prompt& prompt);
 
 // Number of tokens in a prompt's shared prefix: all parts but the last.
--- a/Source/Core/Scheduling/PrefixCache.h
+++ b/Source/Core/Scheduling/PrefixCache.h
@@ -20,9 +20,8 @@
   // them as most recently used.
   void Insert(const common::Prompt& prompt);
 
-  // Evicts the least recently used parts until at most `tokens` remain.
-  // Insert() does the same for the number of parts, whose limit is far above
-  // what an engine keeps.
+  // Evicts the least recently used parts until at most `tokens` remain. The
+  // number of parts is limited too, also by Insert().
   void EvictTo(double tokens);
 
   void Clear();
