--- a/Source/UnitTests/Platform/HostileFixture.cpp
+++ b/Source/UnitTests/Platform/HostileFixture.cpp
@@ -55,11 +55,11 @@
                      absl::Base64Escape(value));
 }
 
-std::string Entry(const std::string& service, std::uint16_t port) {
+std::string Entry(const std::string& service, std::uint16_t port, int slots) {
   return fmt::format(
       R"({{"service":"{}","address":"127.0.0.1:{}","zone":"z",
-      "slots":500,"state":"ready","born":1}})",
-      service, port);
+      "slots":{},"state":"ready","born":1}})",
+      service, port, slots);
 }
 
 std::string RequestHead(const std::string& framing,
@@ -167,13 +167,14 @@
 
   void AnswerStoreCall(const std::shared_ptr<transport::HttpExchange>& it) {
     if (it->Request().target.find("kv-watch") == std::string::npos) {
-      return it->Send({.status = kOk,
-                       .headers = {},
-                       .body = fmt::format(
-                           R"({{"items":[{},{},{}],"asOf":5}})",
-                           Item("op/config", ConfigurationText()),
-                           Item("servers/u", Entry("plain", upstream->Port())),
-                           Item("servers/m", Entry("model", model->Port())))});
+      return it->Send(
+          {.status = kOk,
+           .headers = {},
+           .body = fmt::format(
+               R"({{"items":[{},{},{}],"asOf":5}})",
+               Item("op/config", ConfigurationText()),
+               Item("servers/u", Entry("plain", upstream->Port(), 8)),
+               Item("servers/m", Entry("model", model->Port(), 500)))});
     }
     // Nothing changes.
     const auto timer = std::make_shared<net::steady_timer>(context);
